--- /dev/null
+++ b/src/api/front.cc
@@ -0,0 +1,153 @@
+#include "api/front.h"
+
+#include <spdlog/spdlog.h>
+
+#include "wire/job_codec.h"
+#include "wire/worker_codec.h"
+
+namespace deckhall {
+namespace {
+
+const std::string kJobsPath = "/api/jobs";
+const std::string kCancelEnd = "/cancel";
+
+HttpAnswer Error(int status, const char* why) {
+  HttpAnswer a;
+  a.status = status;
+  a.body = EncodeError(why);
+  return a;
+}
+
+HttpAnswer WrongMethod(const char* allow) {
+  HttpAnswer a = Error(405, "method not allowed");
+  a.allow = allow;
+  return a;
+}
+
+}  // namespace
+
+Front::Front(const Clock* clock, Backend backend)
+    : clock_(clock),
+      backend_(std::move(backend)),
+      submit_ms_(boost::histogram::make_histogram(
+          boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(
+              40, 0.5, 10000.0))) {}
+
+void Front::Handle(const HttpMessage& request, const HttpServer::Reply& reply) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  if (path == "/up") {
+    if (request.method != "GET") {
+      reply(WrongMethod("GET"));
+      return;
+    }
+    HttpAnswer a;
+    a.status = backend_.up() ? 200 : 503;
+    a.body = a.status == 200 ? "{\"up\":true}" : "{\"up\":false}";
+    reply(a);
+  } else if (path == "/checkin") {
+    if (request.method != "POST") {
+      reply(WrongMethod("POST"));
+    } else {
+      CheckIn(request, reply);
+    }
+  } else if (path == kJobsPath || path.compare(0, kJobsPath.size() + 1, kJobsPath + "/") == 0) {
+    Jobs(request, path, reply);
+  } else {
+    reply(Error(404, "no such path"));
+  }
+}
+
+void Front::Jobs(const HttpMessage& request, const std::string& path,
+                 const HttpServer::Reply& reply) {
+  UserAsk ask;
+  if (path == kJobsPath) {
+    if (request.method != "POST") {
+      reply(WrongMethod("POST"));
+      return;
+    }
+    ask.op = UserOp::kSubmit;
+    ask.invalid = ParseJob(request.body, &ask.id, &ask.job);
+    // Without a usable id nobody can know the job.
+    if (ask.id.empty()) {
+      reply(Error(400, ask.invalid.c_str()));
+      return;
+    }
+    Ask(std::move(ask), reply);
+    return;
+  }
+  ask.id = path.substr(kJobsPath.size() + 1);
+  ask.op = UserOp::kGet;
+  if (ask.id.size() > kCancelEnd.size() &&
+      ask.id.compare(ask.id.size() - kCancelEnd.size(), kCancelEnd.size(), kCancelEnd) == 0) {
+    ask.id.resize(ask.id.size() - kCancelEnd.size());
+    ask.op = UserOp::kCancel;
+  }
+  if (ask.id.find('/') != std::string::npos) {
+    reply(Error(404, "no such path"));
+    return;
+  }
+  const char* method = ask.op == UserOp::kGet ? "GET" : "POST";
+  if (request.method != method) {
+    reply(WrongMethod(method));
+    return;
+  }
+  if (!ValidJobId(ask.id)) {
+    // Can never have been accepted.
+    reply(Error(404, "no such job"));
+    return;
+  }
+  Ask(std::move(ask), reply);
+}
+
+void Front::Ask(UserAsk ask, const HttpServer::Reply& reply) {
+  const double began = clock_->Now();
+  UserAsk head;
+  head.op = ask.op;
+  head.id = ask.id;
+  backend_.user(std::move(ask), [this, head, began, reply](const UserReply& r) {
+    HttpAnswer a;
+    a.status = r.status;
+    a.retry_after_s = r.retry_after_s;
+    a.body = EncodeUserReply(head, r);
+    if (head.op == UserOp::kSubmit) {
+      ++submits_;
+      if (r.status >= 300) ++refusals_;
+      submit_ms_((clock_->Now() - began) * 1000 + 0.5);
+    }
+    reply(a);
+  });
+}
+
+void Front::CheckIn(const HttpMessage& request, const HttpServer::Reply& reply) {
+  Report report;
+  if (!DecodeReport(request.body, &report)) {
+    spdlog::warn("a report is malformed");
+    reply(Error(400, "malformed report"));
+    return;
+  }
+  backend_.report(std::move(report), [reply](const ReportReply& r) {
+    HttpAnswer a;
+    a.status = r.status;
+    a.body = EncodeReportReply(r);
+    reply(a);
+  });
+}
+
+void Front::LogLatency() {
+  if (submits_ == 0) return;
+  const double total = static_cast<double>(submits_);
+  double below = 0;
+  double p50 = 0;
+  double p97 = 0;
+  for (auto&& cell : boost::histogram::indexed(submit_ms_, boost::histogram::coverage::all)) {
+    below += *cell;
+    if (p50 == 0 && below >= 0.5 * total) p50 = cell.bin().upper();
+    if (p97 == 0 && below >= 0.97 * total) p97 = cell.bin().upper();
+  }
+  spdlog::info("submissions: {} answered, {} not accepted, half within {:.0f} ms, 97% within {:.0f} ms",
+               submits_, refusals_, p50, p97);
+  submit_ms_.reset();
+  submits_ = refusals_ = 0;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,92 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "app/controller.h"
+
+namespace {
+
+bool ReadFile(const std::string& path, std::string* out) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return false;
+  std::ostringstream text;
+  text << in.rdbuf();
+  *out = text.str();
+  return !in.bad();
+}
+
+int Complain(const std::string& what, const std::string& why) {
+  std::cerr << "deckhall: " << what << ": " << why << std::endl;
+  return 2;
+}
+
+// Reads both files; 0, or the exit status after one line on standard error.
+int Read(const std::string& config, const std::string& tuning_path, deckhall::Settings* settings,
+         deckhall::Tuning* tuning) {
+  std::string text;
+  if (!ReadFile(config, &text)) return Complain(config, "can't be read");
+  std::string bad = deckhall::ReadSettings(text, settings);
+  if (!bad.empty()) return Complain(config, bad);
+  if (tuning_path.empty()) return 0;
+  if (!ReadFile(tuning_path, &text)) return Complain(tuning_path, "can't be read");
+  bad = deckhall::ReadTuning(text, tuning);
+  if (!bad.empty()) return Complain(tuning_path, bad);
+  return 0;
+}
+
+void SetUpLog(const std::string& label) {
+  auto logger = spdlog::stderr_logger_st("deckhall");
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string word = level == nullptr ? "info" : level;
+  logger->set_level(word == "debug"   ? spdlog::level::debug
+                    : word == "error" ? spdlog::level::err
+                                      : spdlog::level::info);
+  logger->set_pattern("%T.%e " + label + " %l %v");
+  spdlog::set_default_logger(logger);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("deckhall: a cluster scheduler's controller");
+  app.set_version_flag("--version", std::string("deckhall ") + DECKHALL_VERSION);
+  app.require_subcommand(1);
+  std::string config;
+  std::string tuning_path;
+  auto* serve = app.add_subcommand("serve", "run a controller until it is killed");
+  auto* check = app.add_subcommand("check", "check settings and tuning, and stop");
+  for (auto* sub : {serve, check}) {
+    sub->add_option("--config", config, "the platform's settings (JSON)")->required();
+    sub->add_option("--tuning", tuning_path, "the operators' settings (S-expression)");
+  }
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  }
+  deckhall::Settings settings;
+  deckhall::Tuning tuning;
+  if (const int status = Read(config, tuning_path, &settings, &tuning); status != 0) return status;
+  if (check->parsed()) {
+    std::cout << "settings are good" << std::endl;
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  SetUpLog(settings.label);
+  try {
+    deckhall::Loop loop;
+    const deckhall::Controller controller(&loop, settings, tuning);
+    loop.Run();
+  } catch (const std::exception& e) {
+    spdlog::error("{}", e.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/app/settings.cc
@@ -0,0 +1,115 @@
+#include "app/settings.h"
+
+#include <algorithm>
+
+#include "wire/json.h"
+
+namespace deckhall {
+namespace {
+
+std::string ReadEndpoint(const JsonValue& o, const char* name, Endpoint* out) {
+  std::string text;
+  if (!JsonString(o, name, &text)) return std::string(name) + ": missing";
+  if (!ParseEndpoint(text, out)) return std::string(name) + ": not an address: " + text;
+  return "";
+}
+
+// A positive number that may be missing.
+std::string ReadPositive(const JsonValue* o, const char* name, double* out) {
+  if (o == nullptr || JsonMember(*o, name) == nullptr) return "";
+  double v = 0;
+  if (!JsonNumber(*o, name, &v) || v <= 0 || v > 1e9) {
+    return std::string(name) + ": not a positive number";
+  }
+  *out = v;
+  return "";
+}
+
+std::string ReadTeam(const JsonValue& row, Team* team) {
+  if (!JsonString(row, "name", &team->name) || team->name.empty()) return "teams: name missing";
+  const std::pair<const char*, double*> amounts[] = {{"cpus", &team->cores},
+                                                     {"cpus_max", &team->cores_max},
+                                                     {"gpus", &team->gpus},
+                                                     {"gpus_max", &team->gpus_max}};
+  for (const auto& [name, to] : amounts) {
+    if (JsonMember(row, name) == nullptr) continue;
+    if (!JsonNumber(row, name, to) || *to < 0) return std::string("teams: ") + name + " invalid";
+  }
+  return "";
+}
+
+}  // namespace
+
+std::string ReadSettings(const std::string& text, Settings* s) {
+  rapidjson::Document doc;
+  if (!ParseJson(text, &doc) || !doc.IsObject()) return "not a JSON object";
+  if (!JsonString(doc, "label", &s->label) || s->label.empty()) return "label: missing";
+  JsonString(doc, "site", &s->site);
+  std::string bad = ReadEndpoint(doc, "serve_on", &s->serve_on);
+  if (bad.empty()) bad = ReadEndpoint(doc, "mesh_addr", &s->mesh_addr);
+  if (!bad.empty()) return bad;
+  if (const JsonValue* siblings = JsonMember(doc, "siblings")) {
+    if (!siblings->IsArray()) return "siblings: not a list";
+    for (const auto& row : siblings->GetArray()) {
+      Peer p;
+      if (!JsonString(row, "label", &p.label) || p.label.empty()) return "siblings: label missing";
+      if (p.label == s->label) return "siblings: own label " + p.label;
+      JsonString(row, "site", &p.site);
+      bad = ReadEndpoint(row, "endpoint", &p.at);
+      if (!bad.empty()) return "siblings: " + bad;
+      s->siblings.push_back(std::move(p));
+    }
+  }
+  const JsonValue* external = JsonMember(doc, "external");
+  if (external == nullptr) return "external: missing";
+  bad = ReadEndpoint(*external, "cloud", &s->cloud);
+  if (bad.empty()) bad = ReadEndpoint(*external, "state", &s->state);
+  if (!bad.empty()) return "external: " + bad;
+  const JsonValue* cluster = JsonMember(doc, "cluster");
+  if (cluster == nullptr || !cluster->IsObject()) return "cluster: missing";
+  if (const JsonValue* zones = JsonMember(*cluster, "zones")) {
+    if (!zones->IsArray()) return "zones: not a list";
+    for (const auto& z : zones->GetArray()) {
+      if (!z.IsString()) return "zones: not names";
+      s->zones.emplace_back(z.GetString());
+    }
+  }
+  if (const JsonValue* teams = JsonMember(*cluster, "teams")) {
+    if (!teams->IsArray()) return "teams: not a list";
+    for (const auto& row : teams->GetArray()) {
+      Team team;
+      bad = ReadTeam(row, &team);
+      if (!bad.empty()) return bad;
+      s->teams.push_back(std::move(team));
+    }
+  }
+  const JsonValue* workers = JsonMember(*cluster, "workers");
+  const JsonValue* state = JsonMember(*cluster, "state");
+  const JsonValue* cloud = JsonMember(*cluster, "cloud");
+  const JsonValue* quota = JsonMember(*cluster, "quota");
+  double ops = s->state_txn_ops;
+  double sockets = s->max_sockets;
+  const struct {
+    const JsonValue* in;
+    const char* name;
+    double* to;
+  } numbers[] = {{workers, "report_s", &s->report_s},
+                 {workers, "lease_s", &s->lease_s},
+                 {workers, "cancel_s", &s->cancel_s},
+                 {state, "rps", &s->state_rps},
+                 {state, "write_rps", &s->state_write_rps},
+                 {state, "value_kb", &s->state_value_kb},
+                 {state, "txn_ops", &ops},
+                 {cloud, "rps", &s->cloud_rps},
+                 {cloud, "list_lag_s", &s->cloud_lag_s},
+                 {quota, "max_sockets", &sockets}};
+  for (const auto& n : numbers) {
+    bad = ReadPositive(n.in, n.name, n.to);
+    if (!bad.empty()) return bad;
+  }
+  s->state_txn_ops = static_cast<int>(std::clamp(ops, 1.0, 10000.0));
+  s->max_sockets = static_cast<int>(std::clamp(sockets, 50.0, 1e6));
+  return "";
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/app/settings.h
@@ -0,0 +1,38 @@
+// What the platform and the operators hand over.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "fleet/model.h"
+#include "mesh/mesh.h"
+#include "net/tcp.h"
+
+namespace deckhall {
+
+struct Settings {
+  std::string label;
+  std::string site;
+  Endpoint serve_on;
+  Endpoint mesh_addr;
+  std::vector<Peer> siblings;
+  Endpoint cloud;
+  Endpoint state;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  double report_s = 3;
+  double lease_s = 30;
+  double cancel_s = 55;
+  double state_rps = 50;
+  double state_write_rps = 20;
+  double state_value_kb = 8;
+  int state_txn_ops = 12;
+  double cloud_rps = 4;
+  double cloud_lag_s = 8;
+  int max_sockets = 1000;
+};
+
+// Returns the reason why the text is no settings file, or an empty string.
+std::string ReadSettings(const std::string& text, Settings* out);
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/app/tuning.cc
@@ -0,0 +1,102 @@
+#include "app/tuning.h"
+
+#include <gcrypt.h>
+
+#include <cerrno>
+#include <cmath>
+#include <cstdlib>
+#include <memory>
+
+namespace deckhall {
+namespace {
+
+using Sexp = std::unique_ptr<gcry_sexp, decltype(&gcry_sexp_release)>;
+
+Sexp Own(gcry_sexp_t s) { return {s, gcry_sexp_release}; }
+
+std::string Atom(gcry_sexp_t list, int n) {
+  size_t size = 0;
+  const char* data = gcry_sexp_nth_data(list, n, &size);
+  return data == nullptr ? std::string() : std::string(data, size);
+}
+
+std::string SetField(const std::string& section, gcry_sexp_t entry, Tuning* out) {
+  const std::string name = Atom(entry, 0);
+  for (const TuningField& f : TuningFields()) {
+    if (section != f.section || name != f.name) continue;
+    const std::string text = Atom(entry, 1);
+    char* end = nullptr;
+    const double v = std::strtod(text.c_str(), &end);
+    if (text.empty() || *end != '\0' || !std::isfinite(v) || v < f.least || v > f.most) {
+      return section + " " + name + ": not a number from " + std::to_string(f.least) + " to " +
+             std::to_string(f.most);
+    }
+    out->*(f.member) = v;
+    return "";
+  }
+  return "";  // unknown: ignored, as in the platform's file
+}
+
+}  // namespace
+
+const std::vector<TuningField>& TuningFields() {
+  static const std::vector<TuningField> fields = {
+      {"leader", "lease-ms", &Tuning::lease_ms, 500, 60000, "leader's lease in the state service"},
+      {"leader", "renew-ms", &Tuning::renew_ms, 50, 30000, "time between its renewals"},
+      {"rank", "refresh-s", &Tuning::refresh_s, 0.5, 60, "ranks are refreshed at least so often"},
+      {"rank", "save-s", &Tuning::save_s, 1, 300, "work left is written at least so often"},
+      {"rank", "weight-idle", &Tuning::weight_idle, 0.01, 1000, "share of idle jobs"},
+      {"rank", "weight-normal", &Tuning::weight_normal, 0.01, 1000, "share of normal jobs"},
+      {"rank", "weight-urgent", &Tuning::weight_urgent, 0.01, 1000, "share of urgent jobs"},
+      {"rank", "weight-production", &Tuning::weight_production, 0.01, 1000,
+       "share of production arrays"},
+      {"fleet", "silent-s", &Tuning::silent_s, 1, 600, "a machine silent for so long is probed"},
+      {"fleet", "lost-s", &Tuning::lost_s, 1, 600,
+       "a machine silent for so long, and to probes, is returned"},
+      {"fleet", "takeover-wait-s", &Tuning::takeover_wait_s, 1, 600,
+       "a new leader waits so long for a machine's first sign"},
+      {"capacity", "plan-s", &Tuning::plan_s, 0.2, 60, "time between plans"},
+      {"capacity", "idle-spot-s", &Tuning::idle_spot_s, 0, 3600,
+       "an idle spot machine is kept so long"},
+      {"capacity", "idle-ordinary-s", &Tuning::idle_ordinary_s, 0, 3600,
+       "an idle ordinary machine is kept so long"},
+      {"capacity", "drain-s", &Tuning::drain_s, 1, 3600,
+       "machines are rented so that waiting arrays are worked off in this time"},
+      {"capacity", "headroom-machines", &Tuning::headroom_machines, 0, 100,
+       "room kept for replicas, in machines lost"},
+      {"capacity", "headroom-boots", &Tuning::headroom_boots, 0, 100,
+       "room kept for replicas, in boot times of arrivals"},
+      {"capacity", "late-boot", &Tuning::late_boot, 1, 20,
+       "boots longer than this, in nominal times, are no longer counted on"},
+      {"capacity", "give-up-boot", &Tuning::give_up_boot, 1, 100,
+       "boots longer than this, in nominal times, are given up"},
+  };
+  return fields;
+}
+
+std::string ReadTuning(const std::string& text, Tuning* out) {
+  gcry_check_version(nullptr);
+  gcry_sexp_t raw = nullptr;
+  size_t offset = 0;
+  if (gcry_sexp_sscan(&raw, &offset, text.data(), text.size()) != 0) {
+    return "not an S-expression (at byte " + std::to_string(offset) + ")";
+  }
+  const Sexp root = Own(raw);
+  if (Atom(root.get(), 0) != "deckhall") return "does not begin with (deckhall";
+  for (int i = 1; i < gcry_sexp_length(root.get()); ++i) {
+    const Sexp section = Own(gcry_sexp_nth(root.get(), i));
+    if (!section) return "a section is not a list";
+    const std::string name = Atom(section.get(), 0);
+    for (int k = 1; k < gcry_sexp_length(section.get()); ++k) {
+      const Sexp entry = Own(gcry_sexp_nth(section.get(), k));
+      if (!entry) return name + ": an entry is not a list";
+      std::string bad = SetField(name, entry.get(), out);
+      if (!bad.empty()) return bad;
+    }
+  }
+  if (out->renew_ms * 2 > out->lease_ms) return "leader renew-ms: more than half of lease-ms";
+  if (out->late_boot > out->give_up_boot) return "capacity late-boot: more than give-up-boot";
+  return "";
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/app/tuning.h
@@ -0,0 +1,49 @@
+// The operators' own settings: an S-expression file.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace deckhall {
+
+struct Tuning {
+  // leader
+  double lease_ms = 2500;
+  double renew_ms = 500;
+  // rank
+  double refresh_s = 5;
+  double save_s = 5;
+  double weight_idle = 1;
+  double weight_normal = 2;
+  double weight_urgent = 4;
+  double weight_production = 8;
+  // fleet
+  double silent_s = 5;
+  double lost_s = 6.5;
+  double takeover_wait_s = 6;
+  // capacity
+  double plan_s = 1;
+  double idle_spot_s = 20;
+  double idle_ordinary_s = 40;
+  double drain_s = 25;
+  double headroom_machines = 1;
+  double headroom_boots = 1.5;
+  double late_boot = 1.8;
+  double give_up_boot = 4;
+};
+
+struct TuningField {
+  const char* section;
+  const char* name;
+  double Tuning::*member;
+  double least;
+  double most;
+  const char* help;
+};
+
+const std::vector<TuningField>& TuningFields();
+
+// Returns the reason why the text is no tuning, or an empty string.
+std::string ReadTuning(const std::string& text, Tuning* out);
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/cloud/rentals.cc
@@ -0,0 +1,403 @@
+#include "cloud/rentals.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace deckhall {
+namespace {
+
+constexpr size_t kMostReturned = 100;
+constexpr int kMostRented = 50;
+
+std::string TypesText(const std::vector<MachineType>& types) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.SetMaxDecimalPlaces(5);
+  w.StartObject();
+  w.Key("T");
+  w.StartArray();
+  for (const auto& t : types) {
+    w.StartObject();
+    PutString(w, "n", t.name);
+    auto number = [&w](const char* name, double v) {
+      w.Key(name);
+      w.Double(v);
+    };
+    number("c", t.cores);
+    number("g", t.gpus);
+    number("m", t.memory_gb);
+    number("ca", t.cache_gb);
+    number("f", t.fetch_gb_per_s);
+    number("p", t.price);
+    number("sp", t.spot_price);
+    number("b", t.boot_s);
+    w.Key("z");
+    w.StartArray();
+    for (const auto& z : t.zones) w.String(z);
+    w.EndArray();
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+std::vector<MachineType> ReadTypes(const JsonValue& rows) {
+  std::vector<MachineType> types;
+  if (!rows.IsArray()) return types;
+  for (const auto& row : rows.GetArray()) {
+    MachineType t;
+    if (!JsonString(row, "n", &t.name)) continue;
+    JsonNumber(row, "c", &t.cores);
+    JsonNumber(row, "g", &t.gpus);
+    JsonNumber(row, "m", &t.memory_gb);
+    JsonNumber(row, "ca", &t.cache_gb);
+    JsonNumber(row, "f", &t.fetch_gb_per_s);
+    JsonNumber(row, "p", &t.price);
+    JsonNumber(row, "sp", &t.spot_price);
+    JsonNumber(row, "b", &t.boot_s);
+    const JsonValue* zones = JsonMember(row, "z");
+    if (zones != nullptr && zones->IsArray()) {
+      for (const auto& z : zones->GetArray()) {
+        if (z.IsString()) t.zones.emplace_back(z.GetString());
+      }
+    }
+    types.push_back(std::move(t));
+  }
+  return types;
+}
+
+}  // namespace
+
+Rentals::Rentals(CloudPort* cloud, RowStore* store, Fleet* fleet, JobBook* book,
+                 const Clock* clock, uint64_t term, RentalOptions options)
+    : cloud_(cloud),
+      store_(store),
+      fleet_(fleet),
+      book_(book),
+      clock_(clock),
+      term_(term),
+      options_(options) {}
+
+bool Rentals::LoadRow(RowId row, const std::string& text) {
+  rapidjson::Document doc;
+  if (!ParseJson(text, &doc) || !doc.IsObject()) return false;
+  std::string name;
+  if (const JsonValue* rows = JsonMember(doc, "T")) {
+    types_row_ = row;
+    SetTypes(ReadTypes(*rows));
+    return true;
+  }
+  if (JsonString(doc, "m", &name)) {
+    const MachIdx mi = fleet_->Add(name);
+    Machine& m = (*fleet_)[mi];
+    m.row = row;
+    std::string word;
+    JsonString(doc, "e", &m.endpoint);
+    if (JsonString(doc, "c", &word)) m.type = book_->types.Add(word);
+    if (JsonString(doc, "z", &word)) m.zone = book_->zones.Add(word);
+    JsonBool(doc, "sp", &m.spot);
+    JsonNumber(doc, "w", &m.rented_wall);
+    // Its address was durable before its first launch: without one it is empty.
+    m.may_hold = !m.endpoint.empty();
+    return true;
+  }
+  if (JsonString(doc, "r", &name)) {
+    auto intent = std::make_unique<Intent>();
+    intent->request = name;
+    intent->row = row;
+    intent->old = true;
+    JsonString(doc, "c", &intent->type);
+    JsonString(doc, "z", &intent->zone);
+    JsonBool(doc, "sp", &intent->spot);
+    uint64_t count = 0;
+    JsonU64(doc, "n", &count);
+    intent->count = static_cast<int>(std::min<uint64_t>(count, kMostRented));
+    intents_.push_back(std::move(intent));
+    return true;
+  }
+  return false;
+}
+
+void Rentals::Start() { next_list_ = next_types_ = clock_->Now(); }
+
+void Rentals::SetTypes(std::vector<MachineType> types) {
+  types_ = std::move(types);
+  std::vector<Pool> pools;
+  for (const auto& t : types_) {
+    for (const auto& z : t.zones) {
+      for (const bool spot : {false, true}) {
+        Pool pool;
+        pool.type = book_->types.Add(t.name);
+        pool.zone = book_->zones.Add(z);
+        pool.spot = spot;
+        for (const Pool& old : pools_) {
+          if (old.type == pool.type && old.zone == pool.zone && old.spot == spot) pool = old;
+        }
+        pools.push_back(pool);
+      }
+    }
+  }
+  pools_ = std::move(pools);
+}
+
+const MachineType* Rentals::TypeOf(uint32_t type) const {
+  if (type == kNone) return nullptr;
+  const std::string& name = book_->types[type];
+  for (const auto& t : types_) {
+    if (t.name == name) return &t;
+  }
+  return nullptr;
+}
+
+Pool* Rentals::PoolOf(const std::string& type, const std::string& zone, bool spot) {
+  const uint32_t t = book_->types.Find(type);
+  const uint32_t z = book_->zones.Find(zone);
+  for (Pool& p : pools_) {
+    if (p.type == t && p.zone == z && p.spot == spot) return &p;
+  }
+  return nullptr;
+}
+
+int Rentals::Pending(uint32_t pool) const {
+  const Pool& p = pools_[pool];
+  int sum = 0;
+  for (const auto& i : intents_) {
+    if (i->spot == p.spot && i->type == book_->types[p.type] && i->zone == book_->zones[p.zone]) {
+      sum += i->count;
+    }
+  }
+  return sum;
+}
+
+std::string Rentals::IntentText(const Intent& intent) const {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.StartObject();
+  PutString(w, "r", intent.request);
+  PutString(w, "c", intent.type);
+  PutString(w, "z", intent.zone);
+  w.Key("sp");
+  w.Bool(intent.spot);
+  w.Key("n");
+  w.Int(intent.count);
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+void Rentals::Rent(uint32_t pool, int count, const std::string& why) {
+  const Pool& p = pools_[pool];
+  auto intent = std::make_unique<Intent>();
+  // The term in the name: no other leader can ever use it again.
+  intent->request = "r-" + std::to_string(term_) + "-" + std::to_string(next_request_++);
+  intent->type = book_->types[p.type];
+  intent->zone = book_->zones[p.zone];
+  intent->spot = p.spot;
+  intent->count = std::min(count, kMostRented);
+  spdlog::info("renting {} {}{} in {} ({}): {}", intent->count, intent->type,
+               p.spot ? " (spot)" : "", intent->zone, intent->request, why);
+  const std::string text = IntentText(*intent);
+  intent->row = store_->Add(text, text.size(), true);
+  intents_.push_back(std::move(intent));
+}
+
+void Rentals::Ask(Intent* intent) {
+  intent->asked = true;
+  cloud_->Rent(intent->request, intent->type, intent->zone, intent->spot, intent->count,
+               [this, request = intent->request](const RentAnswer& a) { Rented(request, a); });
+}
+
+void Rentals::Rented(const std::string& request, const RentAnswer& answer) {
+  auto it = std::find_if(intents_.begin(), intents_.end(),
+                         [&request](const auto& i) { return i->request == request; });
+  if (it == intents_.end()) return;
+  Intent& intent = **it;
+  const double now = clock_->Now();
+  intent.asked = false;
+  if (!answer.ok && !answer.refused && !answer.malformed) {
+    // Carried out or not: the same name asks again, and rents nothing twice.
+    intent.retry_at = now + 1.0;
+    return;
+  }
+  const auto got = static_cast<int>(answer.machines.size());
+  if (Pool* pool = PoolOf(intent.type, intent.zone, intent.spot)) {
+    if (got < intent.count) {
+      pool->refusal_s = std::clamp(pool->refusal_s * 2, options_.refusal_s, options_.refusal_most_s);
+      pool->refused_until = now + pool->refusal_s;
+      spdlog::info("{} {}{}: {} of {} to be had, not asked again for {} s", intent.zone,
+                   intent.type, intent.spot ? " (spot)" : "", got, intent.count, pool->refusal_s);
+    } else {
+      pool->refusal_s = 0;
+    }
+  }
+  for (const std::string& name : answer.machines) {
+    MachIdx mi = fleet_->Find(name);
+    if (mi == kNone) mi = fleet_->Add(name);
+    Machine& m = (*fleet_)[mi];
+    if (m.type == kNone) {
+      m.type = book_->types.Add(intent.type);
+      m.zone = book_->zones.Add(intent.zone);
+      m.spot = intent.spot;
+      m.rented_wall = clock_->Wall();
+    }
+    if (!m.may_hold && !m.up) m.accounted = true;
+    SaveMachine(mi, true);
+  }
+  store_->Remove(intent.row);
+  intents_.erase(it);
+  fleet_->changed = true;
+}
+
+void Rentals::SaveMachine(MachIdx mi, bool urgent) {
+  Machine& m = (*fleet_)[mi];
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.SetMaxDecimalPlaces(2);
+  w.StartObject();
+  PutString(w, "m", m.name);
+  PutString(w, "e", m.endpoint);
+  if (m.type != kNone) PutString(w, "c", book_->types[m.type]);
+  if (m.zone != kNone) PutString(w, "z", book_->zones[m.zone]);
+  w.Key("sp");
+  w.Bool(m.spot);
+  w.Key("w");
+  w.Double(m.rented_wall);
+  w.EndObject();
+  std::string text(buffer.GetString(), buffer.GetSize());
+  const size_t reserve = text.size() + (m.endpoint.empty() ? 24 : 0);
+  if (m.row == kNoRow) {
+    m.row = store_->Add(std::move(text), reserve, urgent);
+  } else {
+    store_->Set(m.row, std::move(text), reserve, urgent);
+  }
+}
+
+MachIdx Rentals::Unexpected(const Report& r) {
+  const MachIdx mi = fleet_->Add(r.machine);
+  Machine& m = (*fleet_)[mi];
+  m.type = book_->types.Add(r.type);
+  m.zone = book_->zones.Add(r.zone);
+  m.spot = r.spot;
+  m.endpoint = r.endpoint;
+  m.rented_wall = clock_->Wall();
+  SaveMachine(mi, true);
+  spdlog::info("machine {} ({} in {}{}) reports and was not expected: used", r.machine, r.type,
+               r.zone, r.spot ? ", spot" : "");
+  return mi;
+}
+
+void Rentals::Return(MachIdx mi, const char* why) {
+  Machine& m = (*fleet_)[mi];
+  if (m.returning || m.gone) return;
+  m.returning = m.drain = true;
+  next_return_ = std::min(next_return_, clock_->Now());
+  spdlog::info("returning machine {}: {}", m.name, why);
+}
+
+void Rentals::SendReturns() {
+  std::vector<std::string> names;
+  std::vector<MachIdx> which;
+  for (MachIdx i = 0; i < fleet_->size() && names.size() < kMostReturned; ++i) {
+    const Machine& m = (*fleet_)[i];
+    if (!m.returning || m.gone) continue;
+    names.push_back(m.name);
+    which.push_back(i);
+  }
+  if (names.empty()) return;
+  returning_ = true;
+  cloud_->Return(names, [this, which](bool ok) {
+    returning_ = false;
+    next_return_ = clock_->Now() + 0.5;
+    if (!ok) return;
+    for (MachIdx i : which) {
+      Machine& m = (*fleet_)[i];
+      fleet_->MarkGone(i, "returned");
+      if (m.row != kNoRow) store_->Remove(m.row);
+      m.row = kNoRow;
+    }
+  });
+}
+
+void Rentals::AskTypes() {
+  asking_types_ = true;
+  cloud_->Types([this](bool ok, std::vector<MachineType> types) {
+    asking_types_ = false;
+    next_types_ = clock_->Now() + (ok ? options_.types_every_s : 1.0);
+    if (!ok) return;
+    const bool first = types_.empty();
+    SetTypes(std::move(types));
+    std::string text = TypesText(types_);
+    const size_t reserve = text.size() + 64;
+    if (types_row_ == kNoRow) {
+      types_row_ = store_->Add(std::move(text), reserve, false);
+    } else if (first) {
+      store_->Set(types_row_, std::move(text), reserve, false);
+    }
+    fleet_->changed = true;
+  });
+}
+
+void Rentals::AskList(const std::string& after) {
+  listing_ = true;
+  cloud_->List(after, [this](bool ok, const std::vector<ListedMachine>& rows, bool truncated) {
+    listing_ = false;
+    next_list_ = clock_->Now() + options_.list_every_s;
+    if (!ok) {
+      next_list_ = clock_->Now() + 1.0;
+      return;
+    }
+    Listed(rows);
+    if (truncated && !rows.empty()) AskList(rows.back().name);
+  });
+}
+
+void Rentals::Listed(const std::vector<ListedMachine>& rows) {
+  for (const ListedMachine& row : rows) {
+    MachIdx mi = fleet_->Find(row.name);
+    if (mi == kNone) {
+      if (row.state == ListedState::kFailed) {
+        mi = fleet_->Add(row.name);
+        (*fleet_)[mi].accounted = true;
+        Return(mi, "failed, and not known here");
+        continue;
+      }
+      // A rental whose answer is still on its way names it soon.
+      if (Renting()) continue;
+      mi = fleet_->Add(row.name);
+      Machine& m = (*fleet_)[mi];
+      m.type = book_->types.Add(row.type);
+      m.zone = book_->zones.Add(row.zone);
+      m.spot = row.spot;
+      m.rented_wall = clock_->Wall() - row.age_s;
+      m.endpoint = "";
+      SaveMachine(mi, false);
+      spdlog::info("machine {} ({} in {}) is listed and was not expected: used", row.name,
+                   row.type, row.zone);
+      continue;
+    }
+    Machine& m = (*fleet_)[mi];
+    if (m.gone || m.returning) continue;
+    if (row.state == ListedState::kFailed) {
+      fleet_->LoseAll(mi, "the machine failed");
+      fleet_->Account(mi);
+      Return(mi, "failed");
+    }
+  }
+}
+
+void Rentals::Tick(bool trusted) {
+  const double now = clock_->Now();
+  if (!trusted) return;
+  for (auto& intent : intents_) {
+    // Durable before the cloud hears of it, or its machines could be forgotten.
+    if (!intent->asked && now >= intent->retry_at && store_->Durable(intent->row)) {
+      Ask(intent.get());
+    }
+  }
+  if (!returning_ && now >= next_return_) SendReturns();
+  if (!asking_types_ && now >= next_types_) AskTypes();
+  if (!listing_ && now >= next_list_) AskList("");
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/fleet/fleet.cc
@@ -0,0 +1,399 @@
+#include "fleet/fleet.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace deckhall {
+namespace {
+
+constexpr size_t kMaxImages = 16;
+constexpr double kStopAgain = 3.0;
+
+bool SplitTask(const std::string& name, std::string* job, uint32_t* task) {
+  const size_t slash = name.rfind('/');
+  if (slash == std::string::npos) return false;
+  *job = name.substr(0, slash);
+  const char* end = name.data() + name.size();
+  auto [at, err] = std::from_chars(name.data() + slash + 1, end, *task);
+  return err == std::errc() && at == end;
+}
+
+void Remember(std::vector<uint32_t>* images, uint32_t image) {
+  if (image == kNone) return;
+  auto it = std::find(images->begin(), images->end(), image);
+  if (it != images->end()) images->erase(it);
+  images->push_back(image);
+  if (images->size() > kMaxImages) images->erase(images->begin());
+}
+
+}  // namespace
+
+Fleet::Fleet(JobBook* book, const Clock* clock, uint64_t term, FleetOptions options)
+    : book_(book),
+      clock_(clock),
+      term_(term),
+      options_(options),
+      next_attempt_((term << kTermShift) + 1) {}
+
+MachIdx Fleet::Find(const std::string& name) const {
+  auto it = index_.find(name);
+  return it == index_.end() ? kNone : it->second;
+}
+
+MachIdx Fleet::Add(const std::string& name) {
+  const auto m = static_cast<MachIdx>(machines_.size());
+  machines_.emplace_back();
+  machines_.back().name = name;
+  machines_.back().token = term_ << kTermShift;
+  machines_.back().known_at = clock_->Now();
+  index_[name] = m;
+  return m;
+}
+
+double Fleet::UsedCores(const Machine& m) {
+  double sum = 0;
+  for (const Slot& s : m.slots) sum += s.gone ? 0 : s.cores;
+  return sum;
+}
+
+double Fleet::UsedGpus(const Machine& m) {
+  double sum = 0;
+  for (const Slot& s : m.slots) sum += s.gone ? 0 : s.gpus;
+  return sum;
+}
+
+double Fleet::UsedMemory(const Machine& m) {
+  double sum = 0;
+  for (const Slot& s : m.slots) sum += s.gone ? 0 : s.memory_gb;
+  return sum;
+}
+
+Slot* Fleet::FindSlot(Machine& m, const TaskReport& t) {
+  for (Slot& s : m.slots) {
+    if (s.attempt == t.attempt && s.name == t.task) return &s;
+  }
+  return nullptr;
+}
+
+bool Fleet::Process(MachIdx mi, const Report& r) {
+  Machine& m = machines_[mi];
+  const double now = clock_->Now();
+  // Reports and answers overtake each other; the larger (session, seq) is newer.
+  if (r.session < m.session || (r.session == m.session && r.seq <= m.seq)) return false;
+  m.heard_at = now;
+  m.probe_fails = 0;
+  if (!m.up) {
+    m.up = true;
+    m.up_at = now;
+    changed = true;
+  }
+  if (r.session > m.session && !m.slots.empty()) LoseAll(mi, "a new session began there");
+  m.session = r.session;
+  m.seq = r.seq;
+  m.seen_token = std::max(m.seen_token, r.token);
+  // A token of this term that we never gave out can only be a twin of ours from
+  // a message that overtook; stay above it.
+  if (TermOf(r.token) == term_ && r.token > m.token) m.token = r.token;
+  if (r.notice_s && m.notice_until < 0) {
+    m.notice_until = now + *r.notice_s;
+    changed = true;
+    spdlog::info("machine {}: the cloud takes it in {} s", m.name, *r.notice_s);
+  }
+  if (!m.accounted) {
+    // Until the worker has seen this term's token, a former leader's command may
+    // still change what is on it.
+    if (TermOf(r.token) < term_) return true;
+    Account(mi);
+  }
+  std::vector<char> listed(m.slots.size(), 0);
+  const size_t known = m.slots.size();
+  for (const TaskReport& t : r.tasks) {
+    Slot* slot = FindSlot(m, t);
+    if (slot == nullptr) {
+      Adopt(mi, t);
+      continue;
+    }
+    const auto at = static_cast<size_t>(slot - m.slots.data());
+    if (at < known) listed[at] = 1;
+    Apply(mi, slot, t);
+  }
+  for (size_t i = known; i-- > 0;) {
+    if (listed[i] != 0) continue;
+    Slot& slot = m.slots[i];
+    if (slot.seen) {
+      // Cleared, or lost there.
+      if (!slot.gone) FreeTask(mi, slot);
+      m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(i));
+      changed = true;
+    } else if (slot.launch_token == 0 || slot.launch_token < r.token) {
+      // Never sent, or the worker's higher token keeps that launch out for good.
+      slot.launch_token = 0;
+      if (!slot.keep) {
+        FreeTask(mi, slot);
+        m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(i));
+        changed = true;
+      }
+    }
+  }
+  return true;
+}
+
+void Fleet::RecountRunning(Slot* slot, bool now_running) {
+  const bool before = slot->running_since >= 0;
+  if (before == now_running || slot->job == kNone) return;
+  Job& job = (*book_)[slot->job];
+  if (now_running) {
+    slot->running_since = clock_->Now();
+    ++job.running;
+  } else {
+    slot->running_since = -1;
+    if (job.running > 0) --job.running;
+  }
+}
+
+void Fleet::Apply(MachIdx mi, Slot* slot, const TaskReport& t) {
+  Machine& m = machines_[mi];
+  slot->seen = true;
+  if (slot->gone) return;
+  slot->state = t.state;
+  if (slot->job != kNone && t.state != TaskState::kFetching && t.why != ExitWhy::kNoRoom &&
+      t.why != ExitWhy::kInUse && t.why != ExitWhy::kUnknown) {
+    Remember(&m.images, (*book_)[slot->job].image);
+  }
+  if (t.state == TaskState::kRunning) RecountRunning(slot, true);
+  if (t.state == TaskState::kExited) {
+    slot->why = t.why;
+    Exited(mi, slot);
+  }
+}
+
+void Fleet::Adopt(MachIdx mi, const TaskReport& t) {
+  Machine& m = machines_[mi];
+  Slot slot;
+  slot.name = t.task;
+  slot.attempt = t.attempt;
+  slot.seen = true;
+  slot.launched_at = clock_->Now();
+  std::string id;
+  uint32_t task = 0;
+  const JobIdx j = SplitTask(t.task, &id, &task) ? book_->Find(id) : kNone;
+  const bool known = j != kNone && (*book_)[j].full && task < (*book_)[j].tasks.size();
+  if (known) {
+    const Job& job = (*book_)[j];
+    slot.job = j;
+    slot.task = task;
+    slot.team = job.team;
+    slot.cores = job.spec.cores;
+    slot.gpus = job.spec.gpus;
+    slot.memory_gb = job.spec.memory_gb;
+    const TaskPhase phase = job.tasks[task].phase;
+    const bool open = phase == TaskPhase::kUnseen || phase == TaskPhase::kWaiting;
+    slot.keep = open && job.life == JobLife::kLive;
+    // A task that ended as done is done wherever it was; the rest of the books
+    // follow in Exited().
+    if (open) book_->Place(j, task, mi, t.attempt);
+  } else {
+    slot.keep = false;
+  }
+  if (!slot.keep && t.state != TaskState::kExited) {
+    spdlog::info("machine {}: {} (attempt {}) is not wanted there", m.name, t.task, t.attempt);
+  }
+  m.slots.push_back(std::move(slot));
+  changed = true;
+  Apply(mi, &m.slots.back(), t);
+}
+
+void Fleet::FreeTask(MachIdx mi, const Slot& slot) {
+  if (slot.job == kNone) return;
+  Job& job = (*book_)[slot.job];
+  if (slot.running_since >= 0 && job.running > 0) --job.running;
+  if (!job.full) return;
+  const Task& t = job.tasks[slot.task];
+  if (t.phase == TaskPhase::kPlaced && t.machine == mi && t.attempt == slot.attempt) {
+    if (job.waiting.empty()) job.waiting_since = clock_->Now();
+    book_->Unplace(slot.job, slot.task);
+  }
+}
+
+void Fleet::Exited(MachIdx mi, Slot* slot) {
+  Machine& m = machines_[mi];
+  slot->gone = true;
+  changed = true;
+  if (slot->job != kNone && (*book_)[slot->job].full) {
+    Job& job = (*book_)[slot->job];
+    Task& t = job.tasks[slot->task];
+    if (slot->why == ExitWhy::kDone && !job.spec.service) {
+      if (t.phase == TaskPhase::kPlaced && (t.machine != mi || t.attempt != slot->attempt)) {
+        // Done here while another attempt is wanted elsewhere: that one goes.
+        for (Slot& other : machines_[t.machine].slots) {
+          if (other.job == slot->job && other.task == slot->task && !other.gone) {
+            Unwant(&other, 0);
+          }
+        }
+      }
+      book_->Done(slot->job, slot->task);
+      if (job.life == JobLife::kLive) {
+        if (job.done == job.tasks.size()) {
+          spdlog::info("job {} is done", job.id);
+          book_->End(slot->job, JobLife::kDone, clock_->Now());
+        } else {
+          book_->Save(slot->job, false);
+        }
+      }
+    } else {
+      FreeTask(mi, *slot);
+      slot->running_since = -1;  // counted off already
+    }
+  }
+  if (on_exit) on_exit(mi, *slot);
+  RecountRunning(slot, false);
+  (void)m;
+}
+
+void Fleet::Place(MachIdx mi, JobIdx j, uint32_t task) {
+  Machine& m = machines_[mi];
+  const Job& job = (*book_)[j];
+  Slot slot;
+  slot.job = j;
+  slot.task = task;
+  slot.attempt = next_attempt_++;
+  slot.name = job.id + "/" + std::to_string(task);
+  slot.team = job.team;
+  slot.cores = job.spec.cores;
+  slot.gpus = job.spec.gpus;
+  slot.memory_gb = job.spec.memory_gb;
+  slot.launched_at = clock_->Now();
+  book_->Place(j, task, mi, slot.attempt);
+  m.slots.push_back(std::move(slot));
+}
+
+void Fleet::Unwant(Slot* slot, double grace_s) {
+  if (!slot->keep && grace_s >= slot->grace_s) return;
+  if (!slot->keep) slot->stop_sent = -1e9;  // a shorter grace is told at once
+  slot->keep = false;
+  slot->grace_s = grace_s;
+}
+
+void Fleet::UnwantJob(JobIdx j) {
+  for (Machine& m : machines_) {
+    for (Slot& s : m.slots) {
+      if (s.job == j && !s.gone) Unwant(&s, 0);
+    }
+  }
+}
+
+bool Fleet::MayForget(const Slot& s) const {
+  if (!s.gone) return false;
+  // A finished task is durable before its machine forgets it.
+  if (s.why != ExitWhy::kDone || s.job == kNone) return true;
+  return book_->TaskDurable(s.job, s.task);
+}
+
+bool Fleet::HasCommands(MachIdx mi, bool launch) const {
+  const Machine& m = machines_[mi];
+  if (m.seen_token < m.token) return true;
+  const double now = clock_->Now();
+  for (const Slot& s : m.slots) {
+    if (s.gone) {
+      if (MayForget(s)) return true;
+    } else if (!s.keep) {
+      if (!s.seen || now - s.stop_sent > kStopAgain) return true;
+    } else if (!s.seen && launch) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<Command> Fleet::Commands(MachIdx mi, bool launch) {
+  Machine& m = machines_[mi];
+  const double now = clock_->Now();
+  std::vector<Command> out;
+  if (!m.accounted) return out;
+  for (size_t i = m.slots.size(); i-- > 0;) {
+    const Slot& s = m.slots[i];
+    if (s.keep || s.seen) continue;
+    if (s.launch_token == 0) {
+      FreeTask(mi, s);
+      m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(i));
+      changed = true;
+    } else if (s.launch_token == m.token) {
+      // Its launch may still come; a higher token shuts it out.
+      ++m.token;
+    }
+  }
+  for (Slot& s : m.slots) {
+    if (s.gone && MayForget(s)) {
+      out.push_back({CommandOp::kForget, s.name, s.attempt, 0});
+    } else if (!s.gone && !s.keep && s.seen && now - s.stop_sent > kStopAgain) {
+      if (s.stop_first < 0) s.stop_first = now;
+      // Told long ago and still there: no more time to save.
+      const bool late = now - s.stop_first > s.grace_s + kStopAgain;
+      out.push_back({CommandOp::kStop, s.name, s.attempt, late ? 0 : s.grace_s});
+      s.stop_sent = now;
+    }
+  }
+  if (!launch) return out;
+  for (Slot& s : m.slots) {
+    if (s.gone || !s.keep || s.seen) continue;
+    out.push_back({CommandOp::kStart, s.name, s.attempt, 0});
+    s.launch_token = m.token;
+  }
+  return out;
+}
+
+void Fleet::Unanswered(MachIdx mi) {
+  // Late commands die of the higher token. Without it a launch could come after
+  // its attempt was cleared, and start once more.
+  ++machines_[mi].token;
+}
+
+void Fleet::LoseAll(MachIdx mi, const char* why) {
+  Machine& m = machines_[mi];
+  size_t lost = 0;
+  for (const Slot& s : m.slots) {
+    if (s.gone) continue;
+    ++lost;
+    FreeTask(mi, s);
+  }
+  if (lost > 0) spdlog::info("machine {}: {} tasks lost: {}", m.name, lost, why);
+  m.slots.clear();
+  changed = true;
+}
+
+void Fleet::MarkGone(MachIdx mi, const char* why) {
+  Machine& m = machines_[mi];
+  if (m.gone) return;
+  LoseAll(mi, why);
+  Account(mi);
+  m.gone = true;
+  m.images.clear();
+  changed = true;
+  spdlog::info("machine {} is gone: {}", m.name, why);
+}
+
+void Fleet::Account(MachIdx mi) {
+  Machine& m = machines_[mi];
+  if (m.accounted) return;
+  m.accounted = true;
+  changed = true;
+  if (m.may_hold) on_accounted();
+}
+
+uint32_t Fleet::Unaccounted() const {
+  return static_cast<uint32_t>(std::count_if(
+      machines_.begin(), machines_.end(),
+      [](const Machine& m) { return m.may_hold && !m.accounted && !m.gone; }));
+}
+
+bool Fleet::LeaseOver(const Machine& m, double now, double term_began) const {
+  const double lease = options_.lease_s * (1 + options_.drift) + 0.5;
+  if (m.accounted) return now > std::max(m.answered_at, m.heard_at) + lease;
+  // A former leader may have answered it until its hold was over.
+  const double last = std::max(m.answered_at, term_began + options_.old_hold_s * (1 + options_.drift));
+  return now > last + lease;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,88 @@
+// Machines and the attempts on them: what is wanted there, what was seen there,
+// and the commands that make up the difference.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/model.h"
+#include "net/clock.h"
+#include "state/job_book.h"
+
+namespace deckhall {
+
+struct FleetOptions {
+  double lease_s = 30;
+  double old_hold_s = 20;  // how long a former leader may go on answering reports
+  double drift = 0.002;
+};
+
+// Tokens and attempts carry the term in their high bits.
+constexpr int kTermShift = 24;
+inline uint64_t TermOf(uint64_t token) { return token >> kTermShift; }
+
+class Fleet {
+ public:
+  Fleet(JobBook* book, const Clock* clock, uint64_t term, FleetOptions options);
+
+  MachIdx Find(const std::string& name) const;
+  MachIdx Add(const std::string& name);
+  Machine& operator[](MachIdx m) { return machines_[m]; }
+  const Machine& operator[](MachIdx m) const { return machines_[m]; }
+  uint32_t size() const { return static_cast<uint32_t>(machines_.size()); }
+
+  // Takes in a report or a command's answer. False when it is older than what is
+  // known already.
+  bool Process(MachIdx m, const Report& report);
+  // Puts a task there; the launch goes out with the next commands.
+  void Place(MachIdx m, JobIdx job, uint32_t task);
+  // Wants the slot gone.
+  void Unwant(Slot* slot, double grace_s);
+  void UnwantJob(JobIdx job);
+  // What to tell the machine now. Launches only if `launch`.
+  std::vector<Command> Commands(MachIdx m, bool launch);
+  // True when there is something to tell it.
+  bool HasCommands(MachIdx m, bool launch) const;
+  // An answer to a command is missing: what was sent may still come.
+  void Unanswered(MachIdx m);
+  // Nothing is on it any more.
+  void LoseAll(MachIdx m, const char* why);
+  void MarkGone(MachIdx m, const char* why);
+  // Machines that an earlier leader's tasks may be on, not accounted for yet.
+  uint32_t Unaccounted() const;
+  void Account(MachIdx m);
+  // The lease surely ran out: whatever was on it was killed by the worker.
+  bool LeaseOver(const Machine& m, double now, double term_began) const;
+
+  static double UsedCores(const Machine& m);
+  static double UsedGpus(const Machine& m);
+  static double UsedMemory(const Machine& m);
+
+  // A task ended; `slot.why` tells how. Called after the books were changed.
+  std::function<void(MachIdx, const Slot&)> on_exit;
+  // A machine that an earlier leader used is accounted for.
+  std::function<void()> on_accounted = [] {};
+  // Something changed that the placer should look at.
+  bool changed = false;
+
+ private:
+  Slot* FindSlot(Machine& m, const TaskReport& t);
+  void Adopt(MachIdx m, const TaskReport& t);
+  void Apply(MachIdx m, Slot* slot, const TaskReport& t);
+  void Exited(MachIdx m, Slot* slot);
+  void FreeTask(MachIdx m, const Slot& slot);
+  void RecountRunning(Slot* slot, bool now_running);
+  bool MayForget(const Slot& slot) const;
+
+  JobBook* book_;
+  const Clock* clock_;
+  uint64_t term_;
+  FleetOptions options_;
+  std::vector<Machine> machines_;
+  std::unordered_map<std::string, MachIdx> index_;
+  uint64_t next_attempt_;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/fleet/model.h
@@ -0,0 +1,161 @@
+// The leader's picture: jobs, tasks, machines and what is on them. Names were
+// mapped to dense indices at the door.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "state/row_store.h"
+#include "wire/types.h"
+
+namespace deckhall {
+
+using JobIdx = uint32_t;
+using MachIdx = uint32_t;
+constexpr uint32_t kNone = UINT32_MAX;
+
+// Gives each name its index, in order of first appearance.
+class Names {
+ public:
+  uint32_t Add(const std::string& name) {
+    auto [it, fresh] = index_.emplace(name, static_cast<uint32_t>(names_.size()));
+    if (fresh) names_.push_back(name);
+    return it->second;
+  }
+  uint32_t Find(const std::string& name) const {
+    auto it = index_.find(name);
+    return it == index_.end() ? kNone : it->second;
+  }
+  const std::string& operator[](uint32_t i) const { return names_[i]; }
+  uint32_t size() const { return static_cast<uint32_t>(names_.size()); }
+
+ private:
+  std::unordered_map<std::string, uint32_t> index_;
+  std::vector<std::string> names_;
+};
+
+struct Team {
+  std::string name;
+  double cores = 0;      // guaranteed; 0: none
+  double cores_max = 0;  // 0: no limit
+  double gpus = 0;
+  double gpus_max = 0;
+};
+
+enum class TaskPhase : uint8_t {
+  kWaiting,
+  kUnseen,  // after a takeover: may be on a machine that is not accounted for
+  kPlaced,
+  kDone
+};
+
+struct Task {
+  TaskPhase phase = TaskPhase::kWaiting;
+  uint8_t fails = 0;
+  uint32_t machine = kNone;
+  uint64_t attempt = 0;
+};
+
+enum class JobLife : uint8_t { kLive, kDone, kCancelled };
+
+struct Job {
+  std::string id;
+  JobSpec spec;
+  JobLife life = JobLife::kLive;
+  bool full = false;  // has its spec and tasks
+  uint32_t team = kNone;
+  uint32_t image = kNone;
+  uint32_t klass = kNone;
+  uint32_t zone = kNone;        // the only allowed zone
+  double submitted_wall = 0;
+  double ended_at = -1;         // steady time at which it was done or cancelled
+  std::vector<Task> tasks;
+  std::vector<uint32_t> waiting;  // stack of waiting tasks
+  uint32_t unseen = 0;
+  uint32_t placed = 0;
+  uint32_t done = 0;
+  uint32_t running = 0;         // seen running
+  RowId row = kNoRow;
+  std::vector<RowId> chunks;    // further rows of finished tasks
+  bool told = false;            // accepted durably
+  bool from_store = false;      // accepted in an earlier term
+
+  // Ranking.
+  double left = 0;    // core-seconds left in the imagined run
+  double finish = 0;  // when the imagined run completes it
+  double saved_left = -1;
+  bool guaranteed = false;
+
+  // Failures without a success between, and the machines they were on.
+  uint32_t fail_streak = 0;
+  std::vector<uint32_t> failed_on;
+  double backoff_until = 0;
+  double waiting_since = 0;
+};
+
+// One attempt that is, may be, or was on a machine until it is cleared there.
+struct Slot {
+  JobIdx job = kNone;
+  uint32_t task = 0;
+  uint64_t attempt = 0;
+  std::string name;           // "job-000412/3"
+  bool keep = true;           // false: it shall go
+  double grace_s = 0;
+  double stop_sent = -1e9;
+  double stop_first = -1;
+  uint64_t launch_token = 0;  // of the last launch sent; 0: none
+  bool seen = false;
+  bool asked_away = false;    // stopped by us for another's sake
+  TaskState state = TaskState::kFetching;
+  ExitWhy why = ExitWhy::kNone;
+  bool gone = false;          // exited; no longer takes room
+  double launched_at = 0;
+  double running_since = -1;
+  // What it takes, and from whose limit.
+  uint32_t team = kNone;
+  double cores = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+};
+
+struct Machine {
+  std::string name;
+  std::string endpoint;
+  uint32_t type = kNone;
+  uint32_t zone = kNone;
+  bool spot = false;
+  RowId row = kNoRow;
+  bool up = false;          // has reported
+  bool accounted = false;   // nothing unknown can be on it
+  bool may_hold = false;    // an earlier leader may have started tasks on it
+  bool gone = false;
+  bool returning = false;
+  bool return_sent = false;
+  bool drain = false;       // takes no new tasks
+  uint64_t session = 1;
+  uint64_t seq = 0;
+  uint64_t token = 0;       // the one to give commands with
+  uint64_t seen_token = 0;
+  double known_at = 0;      // first heard of, in this term
+  double rented_wall = 0;
+  double up_at = -1;
+  double heard_at = -1e9;   // last report or answer
+  double answered_at = -1e9;// last report we answered with 200
+  double notice_until = -1; // the cloud takes it away
+  bool do_busy = false;
+  double do_after = 0;      // no direct command before
+  int do_fails = 0;
+  bool probing = false;
+  int probe_fails = 0;
+  double no_room_until = 0;
+  double sick_until = 0;
+  int sick_count = 0;
+  int task_fails = 0;       // since the last success
+  double idle_since = -1;
+  std::vector<uint32_t> images;  // likely cached
+  std::vector<Slot> slots;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/leader.h
@@ -0,0 +1,105 @@
+// The one controller that decides: users' jobs, workers' reports, placement,
+// rentals. Lives as long as its term.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cloud/cloud_port.h"
+#include "fleet/worker_port.h"
+#include "leader/placer.h"
+
+namespace deckhall {
+
+// The term's lease, seen by the holder's own clock.
+class LeaseView {
+ public:
+  virtual ~LeaseView() = default;
+  virtual bool Trusted() const = 0;
+  virtual double TrustedUntil() const = 0;
+};
+
+struct LeaderPorts {
+  StatePort* state = nullptr;
+  CloudPort* cloud = nullptr;
+  WorkerPort* workers = nullptr;
+  const Clock* clock = nullptr;
+  const LeaseView* lease = nullptr;
+};
+
+class Leader {
+ public:
+  using UserDone = std::function<void(UserReply)>;
+
+  Leader(LeaderPorts ports, const Settings* settings, const Tuning* tuning,
+         const std::string& leader_key, uint64_t term);
+
+  void Begin();
+  void User(const UserAsk& ask, UserDone done);
+  ReportReply OnReport(const Report& report);
+  void Tick();
+  // The term is over: answers what waits and does nothing any more. Kept until
+  // the last of its requests is answered.
+  void Retire();
+  bool loaded() const { return loaded_; }
+  uint64_t term() const { return term_; }
+
+  std::function<void(const char* why)> on_deposed;
+
+  JobBook& book() { return book_; }
+  Fleet& fleet() { return fleet_; }
+
+ private:
+  struct Waiter {
+    JobIdx job;
+    UserOp op;
+    UserDone done;
+    int status;
+    double since;
+  };
+
+  void Load();
+  void Loaded(std::vector<std::pair<RowId, std::string>> rows);
+  void Submit(const UserAsk& ask, UserDone done);
+  void Cancel(const UserAsk& ask, UserDone done);
+  UserReply State(JobIdx j, int status) const;
+  std::string NeverRuns(const JobSpec& spec) const;
+  void Committed();
+  void ReleaseUnseen();
+  void TaskEnded(MachIdx m, const Slot& slot);
+  void Direct(MachIdx m);
+  void DirectDone(MachIdx m, const WorkerAnswer& answer);
+  void Watch(MachIdx m);
+  void Notice(MachIdx m);
+  void SaveProgress();
+  void FadeJobs();
+  double HoldUntil() const;
+
+  LeaderPorts ports_;
+  const Settings* settings_;
+  const Tuning* tuning_;
+  uint64_t term_;
+  double began_ = 0;
+  RowStore store_;
+  JobBook book_;
+  Fleet fleet_;
+  Rentals rentals_;
+  Placer placer_;
+  bool loaded_ = false;
+  bool loading_ = false;
+  bool retired_ = false;
+  bool release_ = false;
+  double load_after_ = 0;
+  double next_pass_ = 0;
+  double next_plan_ = 0;
+  double next_save_ = 0;
+  double next_watch_ = 0;
+  std::vector<Waiter> waiters_;
+};
+
+// How long a leader goes on answering reports after it last had its lease.
+double HoldSeconds(const Settings& settings);
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,124 @@
+#include "net/http_client.h"
+
+#include <algorithm>
+
+namespace deckhall {
+
+void HttpClient::Later(Done done, HttpResult result) {
+  // Tells a failure from the loop, so that callers see one order of events.
+  later_.erase(std::remove_if(later_.begin(), later_.end(),
+                              [](const auto& t) { return !t->active(); }),
+               later_.end());
+  later_.push_back(std::make_unique<Timer>(
+      loop_, [done = std::move(done), result = std::move(result)] { done(result); }));
+  later_.back()->Start(0.001);
+}
+
+void HttpClient::Call(const Endpoint& to, HttpCall call, Done done) {
+  const std::string peer = to.Text();
+  auto& pool = idle_[peer];
+  Conn* c = nullptr;
+  if (!pool.empty()) {
+    c = pool.back();
+    pool.pop_back();
+  } else {
+    if (conns_.size() >= max_connections_) Trim(0);
+    std::unique_ptr<TcpConn> tcp;
+    if (conns_.size() < max_connections_) tcp = TcpConn::Connect(loop_, to);
+    if (!tcp) {
+      Later(std::move(done), HttpResult());
+      return;
+    }
+    auto conn = std::make_unique<Conn>(max_body_);
+    c = conn.get();
+    c->id = next_id_++;
+    c->peer = peer;
+    c->tcp = std::move(tcp);
+    c->timer = std::make_unique<Timer>(loop_, [this, c] { Fail(c); });
+    c->tcp->SetCallbacks([this, c](std::string_view bytes) { OnData(c, bytes); },
+                         [this, c] { Fail(c); });
+    conns_.emplace(c->id, std::move(conn));
+  }
+  Send(c, call, std::move(done));
+}
+
+void HttpClient::Send(Conn* c, const HttpCall& call, Done done) {
+  c->done = std::move(done);
+  c->timer->Start(call.timeout_s);
+  std::string out = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + c->peer + "\r\n";
+  if (!call.body.empty()) {
+    out += "Content-Type: application/json\r\n";
+  }
+  if (call.method != "GET") {
+    out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+  }
+  out += "\r\n";
+  out += call.body;
+  c->tcp->Send(out);
+}
+
+void HttpClient::OnData(Conn* c, std::string_view bytes) {
+  if (!c->done) {
+    Drop(c);  // speaks without being asked
+    return;
+  }
+  const auto result = c->parser.Feed(bytes);
+  if (result == HttpParser::Result::kMore) return;
+  if (result == HttpParser::Result::kError) {
+    Fail(c);
+    return;
+  }
+  HttpMessage m = c->parser.Take();
+  if (m.status < 200) return;
+  c->timer->Stop();
+  HttpResult r;
+  r.status = m.status;
+  r.sent = true;
+  r.retry_after_s = m.retry_after_s;
+  r.body = std::move(m.body);
+  Done done = std::move(c->done);
+  c->done = nullptr;
+  if (m.keep_alive && !c->parser.InMessage()) {
+    c->used_before = true;
+    c->idle_since = loop_->Now();
+    idle_[c->peer].push_back(c);
+  } else {
+    Drop(c);
+  }
+  done(std::move(r));
+}
+
+void HttpClient::Fail(Conn* c) {
+  HttpResult r;
+  r.sent = c->tcp->connected();
+  Done done = std::move(c->done);
+  c->done = nullptr;
+  Drop(c);
+  if (done) done(std::move(r));
+}
+
+void HttpClient::Drop(Conn* c) {
+  auto& pool = idle_[c->peer];
+  pool.erase(std::remove(pool.begin(), pool.end(), c), pool.end());
+  c->timer->Stop();
+  auto it = conns_.find(c->id);
+  if (it == conns_.end()) return;
+  c->tcp->Abandon();
+  dropped_.push_back(std::move(it->second));
+  conns_.erase(it);
+  if (!reaper_.active()) reaper_.Start(0);
+}
+
+void HttpClient::Trim(double idle_s) {
+  const double now = loop_->Now();
+  std::vector<Conn*> old;
+  for (auto& [peer, pool] : idle_) {
+    for (Conn* c : pool) {
+      if (now - c->idle_since >= idle_s) old.push_back(c);
+    }
+  }
+  for (Conn* c : old) Drop(c);
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,74 @@
+// HTTP server: one request at a time on each connection, answers may come later.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/tcp.h"
+#include "wire/http_parser.h"
+
+namespace deckhall {
+
+struct HttpAnswer {
+  int status = 200;
+  std::string body;
+  int retry_after_s = 0;
+  std::string allow;
+  bool close = false;
+};
+
+struct HttpServerLimits {
+  size_t connections = 1000;
+  size_t head_bytes = 16 << 10;
+  size_t body_bytes = 64 << 10;
+  double request_s = 10;  // from a request's first byte to its last
+  double idle_s = 120;    // between requests
+  double answer_s = 20;   // a reader slower than this is cut off
+};
+
+class HttpServer {
+ public:
+  using Reply = std::function<void(HttpAnswer)>;
+  // The reply may be called at once or later, from the loop; calls after the
+  // connection is gone do nothing.
+  using Handler = std::function<void(HttpMessage, Reply)>;
+
+  HttpServer(Loop* loop, const Endpoint& at, HttpServerLimits limits, Handler handler);
+
+  size_t connections() const { return conns_.size(); }
+
+ private:
+  struct Conn {
+    uint64_t id = 0;
+    std::unique_ptr<TcpConn> tcp;
+    HttpParser parser;
+    bool busy = false;
+    bool closing = false;
+    bool keep_alive = true;
+    double since = 0;  // when the present stage began
+    explicit Conn(const HttpServerLimits& l)
+        : parser(HttpParser::Kind::kRequest, l.head_bytes, l.body_bytes) {}
+  };
+
+  void Accepted(std::unique_ptr<TcpConn> tcp);
+  void OnData(Conn* c, std::string_view bytes);
+  void Handle(Conn* c, HttpParser::Result result);
+  void Answer(Conn* c, const HttpAnswer& answer);
+  void Drop(uint64_t id);
+  void Sweep();
+
+  Loop* loop_;
+  HttpServerLimits limits_;
+  Handler handler_;
+  uint64_t next_id_ = 1;
+  std::unordered_map<uint64_t, std::unique_ptr<Conn>> conns_;
+  std::vector<std::unique_ptr<Conn>> dropped_;  // destroyed from the loop
+  Timer reaper_;
+  Timer sweeper_;
+  TcpListener listener_;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/sched/capacity.cc
@@ -0,0 +1,93 @@
+#include "sched/capacity.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace deckhall {
+namespace {
+
+// How many such tasks a machine takes.
+double Holds(const Offer& o, const Need& n) {
+  double slots = 1e9;
+  if (n.cores > 0) slots = std::min(slots, std::floor(o.cores / n.cores + 1e-9));
+  if (n.memory_gb > 0) slots = std::min(slots, std::floor(o.memory_gb / n.memory_gb + 1e-9));
+  if (n.gpus > 0) slots = std::min(slots, std::floor(o.gpus / n.gpus + 1e-9));
+  return slots;
+}
+
+int Best(const std::vector<Offer>& offers, const std::vector<int>& rented, const Need& need,
+         uint32_t left) {
+  int best = -1;
+  double best_cost = 0;
+  for (size_t i = 0; i < offers.size(); ++i) {
+    const Offer& o = offers[i];
+    if (o.refused || !Allows(need, o.type, o.zone, o.spot)) continue;
+    const double slots = Holds(o, need);
+    if (slots < 1) continue;
+    // Price of a task's place; places beyond those wanted are worth half.
+    const double used = std::min<double>(slots, left);
+    double cost = o.price / (used + 0.5 * (slots - used));
+    // Pools with many machines are a bit dearer, so that zones share the risk.
+    cost *= 1 + 0.01 * (o.existing + rented[i]);
+    if (best < 0 || cost < best_cost) {
+      best = static_cast<int>(i);
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void Take(Node* node, const Need& need) {
+  node->cores -= need.cores;
+  node->gpus -= need.gpus;
+  node->memory_gb -= need.memory_gb;
+}
+
+}  // namespace
+
+std::vector<Rental> PlanRentals(const std::vector<Offer>& offers, std::vector<Node> bins,
+                                const std::vector<Want>& wants, int most_machines) {
+  std::vector<int> rented(offers.size(), 0);
+  int total = 0;
+  for (const Want& want : wants) {
+    Need need = want.need;
+    need.siblings = nullptr;
+    uint32_t left = want.count;
+    // Bins are used from the first that fits; a full pass per want is enough.
+    for (Node& bin : bins) {
+      if (left == 0) break;
+      if (!bin.usable || !Allows(need, bin.type, bin.zone, bin.spot)) continue;
+      while (left > 0 && Fits(need, bin)) {
+        Take(&bin, need);
+        --left;
+      }
+    }
+    while (left > 0 && total < most_machines) {
+      const int at = Best(offers, rented, need, left);
+      if (at < 0) break;
+      const Offer& o = offers[static_cast<size_t>(at)];
+      ++rented[static_cast<size_t>(at)];
+      ++total;
+      Node node;
+      node.type = o.type;
+      node.zone = o.zone;
+      node.spot = o.spot;
+      node.usable = true;
+      node.cores = o.cores;
+      node.gpus = o.gpus;
+      node.memory_gb = o.memory_gb;
+      while (left > 0 && Fits(need, node)) {
+        Take(&node, need);
+        --left;
+      }
+      bins.push_back(node);
+    }
+  }
+  std::vector<Rental> out;
+  for (size_t i = 0; i < offers.size(); ++i) {
+    if (rented[i] > 0) out.push_back({static_cast<uint32_t>(i), rented[i]});
+  }
+  return out;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/sched/placement.cc
@@ -0,0 +1,64 @@
+#include "sched/placement.h"
+
+#include <algorithm>
+
+namespace deckhall {
+namespace {
+
+constexpr double kEps = 1e-6;
+
+bool Has(const std::vector<uint32_t>* list, uint32_t value) {
+  return list != nullptr && std::find(list->begin(), list->end(), value) != list->end();
+}
+
+}  // namespace
+
+bool Allows(const Need& need, uint32_t type, uint32_t zone, bool spot) {
+  if (spot && !need.spot_ok) return false;
+  if (need.zone != UINT32_MAX && need.zone != zone) return false;
+  if (need.types != nullptr && (type >= need.types->size() || (*need.types)[type] == 0)) {
+    return false;
+  }
+  if (need.zones != nullptr && (zone >= need.zones->size() || (*need.zones)[zone] == 0)) {
+    return false;
+  }
+  return true;
+}
+
+bool Fits(const Need& need, const Node& node) {
+  return node.cores + kEps >= need.cores && node.gpus + kEps >= need.gpus &&
+         node.memory_gb + kEps >= need.memory_gb;
+}
+
+int PickNode(const Need& need, const std::vector<Node>& nodes) {
+  int best = -1;
+  double best_cost = 0;
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    const Node& n = nodes[i];
+    if (!n.usable || !Allows(need, n.type, n.zone, n.spot) || !Fits(need, n)) continue;
+    // Seconds until it runs weigh most; then what the choice costs others.
+    double cost = 0;
+    if (!Has(n.images, need.image)) {
+      cost += need.image_gb / std::max(n.fetch_gb_per_s, 1e-3);
+    }
+    if (Has(need.avoid, n.machine)) cost += 1000;
+    if (need.service) {
+      // Replicas apart: one machine lost then costs a service little.
+      if (need.siblings != nullptr) {
+        cost += 3.0 * static_cast<double>(
+                          std::count(need.siblings->begin(), need.siblings->end(), n.machine));
+      }
+    } else if (need.spot_ok && !n.spot) {
+      cost += 4.0;  // ordinary machines are kept for those that need them
+    }
+    // Tight fits leave whole machines free.
+    cost += 0.5 * (n.cores - need.cores) / std::max(n.total_cores, 1.0);
+    if (best < 0 || cost < best_cost) {
+      best = static_cast<int>(i);
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/sched/placement.h
@@ -0,0 +1,45 @@
+// Which machine a task goes to. Pure: looks at a snapshot of the machines.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace deckhall {
+
+struct Node {
+  uint32_t machine = 0;
+  uint32_t type = 0;
+  uint32_t zone = 0;
+  bool spot = false;
+  bool usable = false;       // takes new tasks now
+  double cores = 0;          // free
+  double gpus = 0;
+  double memory_gb = 0;
+  double total_cores = 0;
+  double fetch_gb_per_s = 1;
+  double price_per_core = 0;
+  const std::vector<uint32_t>* images = nullptr;
+};
+
+struct Need {
+  double cores = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+  const std::vector<char>* types = nullptr;  // by type; null: any
+  uint32_t zone = UINT32_MAX;                // the only allowed one
+  bool spot_ok = false;
+  bool service = false;
+  uint32_t image = UINT32_MAX;
+  double image_gb = 0;
+  const std::vector<uint32_t>* avoid = nullptr;  // machines it failed on
+  const std::vector<uint32_t>* siblings = nullptr;  // machines with tasks of the job
+  const std::vector<char>* zones = nullptr;  // by zone: may take one more; null: all
+};
+
+bool Allows(const Need& need, uint32_t type, uint32_t zone, bool spot);
+bool Fits(const Need& need, const Node& node);
+
+// Index of the best node, or -1.
+int PickNode(const Need& need, const std::vector<Node>& nodes);
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/state/job_book.h
@@ -0,0 +1,69 @@
+// All jobs ever accepted, and their durable rows.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/model.h"
+#include "state/row_store.h"
+
+namespace deckhall {
+
+class JobBook {
+ public:
+  explicit JobBook(RowStore* store) : store_(store) {}
+
+  // Reads one row if it is one of ours.
+  bool LoadRow(RowId row, const std::string& text);
+  // After all rows: tasks that are not done may be anywhere.
+  void FinishLoad(double now);
+
+  JobIdx Find(const std::string& id) const;
+  Job& operator[](JobIdx j) { return jobs_[j]; }
+  const Job& operator[](JobIdx j) const { return jobs_[j]; }
+  const std::vector<JobIdx>& live() const { return live_; }
+  // Jobs that are over but whose spec is still kept.
+  const std::vector<JobIdx>& fading() const { return fading_; }
+  size_t live_tasks() const { return live_tasks_; }
+
+  JobIdx Create(const JobSpec& spec, double wall);
+  void Save(JobIdx j, bool urgent);
+  // True when what was last saved of the job is in the state service.
+  bool Durable(JobIdx j) const;
+  bool TaskDurable(JobIdx j, uint32_t task) const;
+
+  // Phase changes keep the counts right.
+  void Place(JobIdx j, uint32_t task, MachIdx machine, uint64_t attempt);
+  void Unplace(JobIdx j, uint32_t task);
+  void SeenFree(JobIdx j, uint32_t task);  // unseen -> waiting
+  void Done(JobIdx j, uint32_t task);
+  // The job is over; its row is urgent.
+  void End(JobIdx j, JobLife life, double now);
+  // Drops the spec of a job that has been over for a while.
+  void Shrink(JobIdx j);
+
+  Names teams, images, classes, zones, types;
+
+ private:
+  void Attach(Job& job);
+  std::string MainText(const Job& job) const;
+  std::string ChunkText(const Job& job, uint32_t part) const;
+  void RemoveFrom(std::vector<JobIdx>* list, JobIdx j);
+
+  RowStore* store_;
+  std::vector<Job> jobs_;
+  std::unordered_map<std::string, JobIdx> index_;
+  std::vector<JobIdx> live_;
+  std::vector<JobIdx> fading_;
+  size_t live_tasks_ = 0;
+  struct Bits {
+    std::string id;
+    uint32_t part;
+    std::string hex;
+    RowId row;
+  };
+  std::vector<Bits> loaded_bits_;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/state/row_store.cc
@@ -0,0 +1,271 @@
+#include "state/row_store.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace deckhall {
+namespace {
+
+const char* const kPrefix = "deckhall/pages/";
+constexpr size_t kTxnBytes = 56 << 10;
+
+}  // namespace
+
+RowStore::RowStore(StatePort* state, const Clock* clock, StoreLimits limits,
+                   std::string leader_key, uint64_t term)
+    : state_(state),
+      clock_(clock),
+      limits_(limits),
+      leader_key_(std::move(leader_key)),
+      term_(term) {}
+
+void RowStore::Load(Loaded done) { LoadFrom("", std::move(done)); }
+
+void RowStore::LoadFrom(std::string after, Loaded done) {
+  state_->List(kPrefix, after, [this, done = std::move(done)](const StateAnswer& answer) {
+    if (answer.outcome != StateOutcome::kOk) {
+      done(false, {});
+      return;
+    }
+    for (const KvRow& kv : answer.rows) {
+      rapidjson::Document doc;
+      Page page;
+      page.key = kv.key;
+      page.version = kv.version;
+      const auto index = static_cast<uint32_t>(pages_.size());
+      if (ParseJson(kv.value, &doc) && doc.IsArray()) {
+        for (const auto& item : doc.GetArray()) {
+          rapidjson::StringBuffer buffer;
+          JsonWriter w(buffer);
+          item.Accept(w);
+          Row row;
+          row.text.assign(buffer.GetString(), buffer.GetSize());
+          row.reserve = row.text.size() + 1;
+          row.page = index;
+          row.live = true;
+          page.reserved += row.reserve;
+          page.rows.push_back(static_cast<RowId>(rows_.size()));
+          rows_.push_back(std::move(row));
+        }
+      } else {
+        spdlog::error("page {} is unreadable and left alone", kv.key);
+        page.reserved = limits_.value_bytes;
+      }
+      pages_.push_back(std::move(page));
+    }
+    if (answer.truncated && !answer.rows.empty()) {
+      LoadFrom(answer.rows.back().key, done);
+      return;
+    }
+    std::vector<std::pair<RowId, std::string>> out;
+    for (RowId i = 0; i < rows_.size(); ++i) out.emplace_back(i, rows_[i].text);
+    done(true, std::move(out));
+  });
+}
+
+uint32_t RowStore::PageFor(size_t bytes) {
+  // The fullest page with room, so that few pages are dirty at a time.
+  uint32_t best = UINT32_MAX;
+  for (uint32_t i = 0; i < pages_.size(); ++i) {
+    const Page& p = pages_[i];
+    if (p.reserved + bytes > limits_.value_bytes) continue;
+    if (best == UINT32_MAX || p.reserved > pages_[best].reserved) best = i;
+  }
+  if (best != UINT32_MAX) return best;
+  Page page;
+  char name[32];
+  std::snprintf(name, sizeof name, "%06zu", pages_.size());
+  page.key = kPrefix + std::string(name);
+  pages_.push_back(std::move(page));
+  return static_cast<uint32_t>(pages_.size() - 1);
+}
+
+void RowStore::Touch(uint32_t index, bool urgent) {
+  Page& p = pages_[index];
+  if (!p.dirty) p.since = clock_->Now();
+  p.dirty = true;
+  p.urgent = p.urgent || urgent;
+}
+
+RowId RowStore::Add(std::string text, size_t reserve, bool urgent) {
+  RowId id;
+  if (free_rows_.empty()) {
+    id = static_cast<RowId>(rows_.size());
+    rows_.emplace_back();
+  } else {
+    id = free_rows_.back();
+    free_rows_.pop_back();
+  }
+  Row& row = rows_[id];
+  row = Row();
+  row.reserve = std::max(reserve, text.size()) + 1;
+  row.text = std::move(text);
+  row.page = PageFor(row.reserve);
+  row.live = row.dirty = true;
+  pages_[row.page].reserved += row.reserve;
+  pages_[row.page].rows.push_back(id);
+  Touch(row.page, urgent);
+  return id;
+}
+
+void RowStore::Set(RowId id, std::string text, size_t reserve, bool urgent) {
+  Row& row = rows_[id];
+  if (row.text == text) {
+    if (urgent && row.dirty) Touch(row.page, true);
+    return;
+  }
+  Page& page = pages_[row.page];
+  const size_t want = std::max(reserve, text.size()) + 1;
+  page.reserved = page.reserved - row.reserve + want;
+  row.reserve = want;
+  row.text = std::move(text);
+  row.dirty = true;
+  Touch(row.page, urgent);
+}
+
+void RowStore::Remove(RowId id) {
+  Row& row = rows_[id];
+  if (!row.live) return;
+  Page& page = pages_[row.page];
+  page.reserved -= row.reserve;
+  page.rows.erase(std::find(page.rows.begin(), page.rows.end(), id));
+  Touch(row.page, false);
+  row = Row();
+  free_rows_.push_back(id);
+}
+
+bool RowStore::AllDurable() const {
+  return !busy_ && std::none_of(pages_.begin(), pages_.end(), [](const Page& p) { return p.dirty; });
+}
+
+std::string RowStore::Render(const Page& page, size_t* bytes) const {
+  std::string out = "[";
+  for (RowId id : page.rows) {
+    if (out.size() > 1) out += ',';
+    out += rows_[id].text;
+  }
+  out += ']';
+  *bytes += out.size() + 80;
+  return out;
+}
+
+void RowStore::Pump() {
+  const double now = clock_->Now();
+  if (stopped_ || busy_ || now < retry_at_) return;
+  std::vector<uint32_t> due;
+  bool urgent = false;
+  bool lazy = false;
+  for (uint32_t i = 0; i < pages_.size(); ++i) {
+    if (!pages_[i].dirty) continue;
+    due.push_back(i);
+    urgent = urgent || pages_[i].urgent;
+    lazy = lazy || now - pages_[i].since >= limits_.lazy_s;
+  }
+  if (!urgent && !lazy) return;
+  std::stable_sort(due.begin(), due.end(), [this](uint32_t a, uint32_t b) {
+    if (pages_[a].urgent != pages_[b].urgent) return pages_[a].urgent;
+    return pages_[a].since < pages_[b].since;
+  });
+  // Lazy pages ride along only while that leaves budget for urgent ones.
+  double room = state_->WriteRoom();
+  if (room < 1) return;
+  Txn txn;
+  txn.conditions.push_back({leader_key_, term_});
+  size_t bytes = 200;
+  sent_.clear();
+  for (uint32_t i : due) {
+    Page& p = pages_[i];
+    if (sent_.size() >= limits_.txn_ops) break;
+    if (!sent_.empty() && room < (p.urgent ? 1.0 : static_cast<double>(limits_.txn_ops) / 3)) break;
+    if (!p.urgent && now - p.since < limits_.lazy_s) continue;
+    size_t total = bytes;
+    std::string value = Render(p, &total);
+    if (!sent_.empty() && total > kTxnBytes) break;
+    bytes = total;
+    room -= 1;
+    txn.conditions.push_back({p.key, p.version});
+    txn.writes.push_back({p.key, std::move(value), 0});
+    sent_.push_back(i);
+    p.dirty = p.urgent = false;
+    for (RowId id : p.rows) {
+      rows_[id].in_flight = true;
+      rows_[id].dirty = false;
+    }
+  }
+  if (sent_.empty()) return;
+  busy_ = true;
+  state_->Commit(txn, [this](const StateAnswer& answer) { Finished(answer); });
+}
+
+void RowStore::Finished(const StateAnswer& answer) {
+  if (stopped_) return;
+  const double now = clock_->Now();
+  const bool ok = answer.outcome == StateOutcome::kOk;
+  for (uint32_t i : sent_) {
+    Page& p = pages_[i];
+    if (ok) p.version = answer.number;
+    for (RowId id : p.rows) {
+      if (!ok && rows_[id].in_flight) rows_[id].dirty = true;
+      rows_[id].in_flight = false;
+    }
+    if (!ok) {
+      if (!p.dirty) p.since = now - limits_.lazy_s;
+      p.dirty = p.urgent = true;
+    }
+  }
+  busy_ = false;
+  if (ok) {
+    if (on_commit) on_commit();
+    Pump();
+    return;
+  }
+  // No answer: the same pages are written again under the same versions. Should
+  // the first try be applied late, the second meets a conflict, never both.
+  if (answer.outcome == StateOutcome::kConflict) {
+    Resolve();
+  } else {
+    retry_at_ = now + 0.1;
+  }
+}
+
+void RowStore::Resolve() {
+  // Only this term's holder writes pages, so a version that differs is our own
+  // unanswered transaction, applied after all - or the term is over.
+  busy_ = true;
+  state_->Get(leader_key_, [this](const StateAnswer& leader) {
+    if (stopped_) return;
+    if (leader.outcome != StateOutcome::kOk) {
+      busy_ = false;
+      retry_at_ = clock_->Now() + 0.2;
+      return;
+    }
+    if (!leader.found || leader.rows[0].version != term_) {
+      spdlog::warn("a write met another term: this one is over");
+      if (on_deposed) on_deposed();
+      return;
+    }
+    ResolvePages("");
+  });
+}
+
+void RowStore::ResolvePages(const std::string& after) {
+  state_->List(kPrefix, after, [this](const StateAnswer& answer) {
+    if (answer.outcome == StateOutcome::kOk) {
+      for (const KvRow& kv : answer.rows) {
+        for (Page& p : pages_) {
+          if (p.key == kv.key) p.version = kv.version;
+        }
+      }
+      if (answer.truncated && !answer.rows.empty() && !stopped_) {
+        ResolvePages(answer.rows.back().key);
+        return;
+      }
+    }
+    busy_ = false;
+    retry_at_ = clock_->Now() + 0.05;
+  });
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/state/row_store.h
@@ -0,0 +1,92 @@
+// The leader's durable rows: small JSON texts, many to a page, a page to a key.
+// Group commit: one transaction at a time writes the dirty pages, on condition
+// that the term still stands and that each page has the version last seen.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "net/clock.h"
+#include "state/state_port.h"
+
+namespace deckhall {
+
+using RowId = uint32_t;
+constexpr RowId kNoRow = UINT32_MAX;
+
+struct StoreLimits {
+  size_t value_bytes = 8 << 10;
+  size_t txn_ops = 12;
+  double lazy_s = 0.7;
+};
+
+class RowStore {
+ public:
+  RowStore(StatePort* state, const Clock* clock, StoreLimits limits, std::string leader_key,
+           uint64_t term);
+
+  // Reads all pages; then `done(true)` with every row's text, or `done(false)`.
+  using Loaded = std::function<void(bool ok, std::vector<std::pair<RowId, std::string>> rows)>;
+  void Load(Loaded done);
+
+  // A new row; `reserve` is the size it may grow to.
+  RowId Add(std::string text, size_t reserve, bool urgent);
+  void Set(RowId row, std::string text, size_t reserve, bool urgent);
+  void Remove(RowId row);
+  // True when the text last set is in the state service.
+  bool Durable(RowId row) const { return !rows_[row].dirty && !rows_[row].in_flight; }
+  // True when everything set so far is in the state service.
+  bool AllDurable() const;
+
+  // Sends what is due. Called whenever something may have become due.
+  void Pump();
+  // Sends nothing any more.
+  void Stop() { stopped_ = true; }
+  // After each commit.
+  std::function<void()> on_commit;
+  // The term is over.
+  std::function<void()> on_deposed;
+
+ private:
+  struct Row {
+    std::string text;
+    size_t reserve = 0;
+    uint32_t page = 0;
+    bool dirty = false;
+    bool in_flight = false;
+    bool live = false;
+  };
+  struct Page {
+    std::string key;
+    uint64_t version = 0;
+    size_t reserved = 2;
+    std::vector<RowId> rows;
+    bool dirty = false;
+    bool urgent = false;
+    double since = 0;
+  };
+
+  uint32_t PageFor(size_t bytes);
+  void Touch(uint32_t page, bool urgent);
+  std::string Render(const Page& page, size_t* bytes) const;
+  void Finished(const StateAnswer& answer);
+  void Resolve();
+  void ResolvePages(const std::string& after);
+  void LoadFrom(std::string after, Loaded done);
+
+  StatePort* state_;
+  const Clock* clock_;
+  StoreLimits limits_;
+  std::string leader_key_;
+  uint64_t term_;
+  std::vector<Row> rows_;
+  std::vector<RowId> free_rows_;
+  std::vector<Page> pages_;
+  std::vector<uint32_t> sent_;  // pages in the transaction in flight
+  bool busy_ = false;
+  bool stopped_ = false;
+  double retry_at_ = 0;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/state/state_client.h
@@ -0,0 +1,40 @@
+// The state service over HTTP, within its rate limits.
+#pragma once
+
+#include <string>
+
+#include "net/clock.h"
+#include "net/http_client.h"
+#include "net/token_bucket.h"
+#include "state/state_port.h"
+
+namespace deckhall {
+
+class StateClient : public StatePort {
+ public:
+  StateClient(Loop* loop, const Clock* clock, Endpoint at, double rps, double write_rps);
+
+  void Commit(const Txn& txn, Done done) override;
+  void Get(const std::string& key, Done done) override;
+  void List(const std::string& prefix, const std::string& after, Done done) override;
+  void Grant(int ttl_ms, Done done) override;
+  void Extend(uint64_t lease, double timeout_s, Done done) override;
+  void Drop(uint64_t lease, Done done) override;
+  void Watch(const std::string& prefix, uint64_t after, int hold_ms, Done done) override;
+  double WriteRoom() override;
+
+ private:
+  using Reader = std::function<void(const HttpResult&, StateAnswer*)>;
+  void Ask(HttpCall call, double reserve, Reader reader, Done done);
+
+  const Clock* clock_;
+  Endpoint at_;
+  TokenBucket requests_;
+  TokenBucket writes_;
+  double rps_;
+  HttpClient http_;
+  Timer refuse_;
+  std::vector<Done> refused_;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/state/state_port.h
@@ -0,0 +1,44 @@
+// What the core asks of the state service.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "wire/state_codec.h"
+
+namespace deckhall {
+
+enum class StateOutcome {
+  kOk,
+  kConflict,  // a condition did not hold, or a lease is gone
+  kRefused,   // surely not executed: 429, 503, budget
+  kUnknown    // no answer: executed, or not, or later
+};
+
+struct StateAnswer {
+  StateOutcome outcome = StateOutcome::kUnknown;
+  uint64_t number = 0;  // revision, or the lease granted
+  bool found = false;   // Get
+  bool truncated = false;
+  std::vector<KvRow> rows;
+};
+
+class StatePort {
+ public:
+  using Done = std::function<void(StateAnswer)>;
+  virtual ~StatePort() = default;
+
+  virtual void Commit(const Txn& txn, Done done) = 0;
+  virtual void Get(const std::string& key, Done done) = 0;
+  virtual void List(const std::string& prefix, const std::string& after, Done done) = 0;
+  virtual void Grant(int ttl_ms, Done done) = 0;
+  virtual void Extend(uint64_t lease, double timeout_s, Done done) = 0;
+  virtual void Drop(uint64_t lease, Done done) = 0;
+  // Returns when a key with the prefix changed after the revision, or in time.
+  virtual void Watch(const std::string& prefix, uint64_t after, int hold_ms, Done done) = 0;
+  // How many puts may go out now, leaving a part for what can't wait.
+  virtual double WriteRoom() = 0;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/wire/mesh_codec.cc
@@ -0,0 +1,254 @@
+#include "wire/mesh_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <cstring>
+
+#include "mesh.capnp.h"
+
+namespace deckhall {
+namespace {
+
+std::string Str(capnp::Text::Reader t) { return {t.cStr(), t.size()}; }
+capnp::Text::Reader Txt(const std::string& s) { return {s.c_str(), s.size()}; }
+
+void Put(const JobSpec& j, mesh::Job::Builder b) {
+  b.setId(Txt(j.id));
+  b.setKlass(Txt(j.klass));
+  b.setTeam(Txt(j.team));
+  b.setService(j.service);
+  b.setPriority(static_cast<uint8_t>(j.priority));
+  b.setTasks(j.tasks);
+  b.setCores(j.cores);
+  b.setGpus(j.gpus);
+  b.setMemoryGb(j.memory_gb);
+  b.setImage(Txt(j.image));
+  b.setImageGb(j.image_gb);
+  b.setAnyType(!j.types.has_value());
+  if (j.types) {
+    auto list = b.initTypes(static_cast<unsigned>(j.types->size()));
+    for (unsigned i = 0; i < list.size(); ++i) list.set(i, Txt((*j.types)[i]));
+  }
+  b.setZone(Txt(j.zone));
+  b.setOneZone(j.one_zone);
+  b.setApart(j.apart);
+  b.setSpot(j.spot);
+  b.setEstimateS(j.estimate_s);
+  b.setCheckpointS(j.checkpoint_s);
+  b.setSaveS(j.save_s);
+  b.setDeadlineS(j.deadline_s.value_or(-1));
+}
+
+void Get(mesh::Job::Reader r, JobSpec* j) {
+  j->id = Str(r.getId());
+  j->klass = Str(r.getKlass());
+  j->team = Str(r.getTeam());
+  j->service = r.getService();
+  j->priority = static_cast<Priority>(r.getPriority() & 3);
+  j->tasks = r.getTasks();
+  j->cores = r.getCores();
+  j->gpus = r.getGpus();
+  j->memory_gb = r.getMemoryGb();
+  j->image = Str(r.getImage());
+  j->image_gb = r.getImageGb();
+  if (!r.getAnyType()) {
+    j->types.emplace();
+    for (auto t : r.getTypes()) j->types->push_back(Str(t));
+  }
+  j->zone = Str(r.getZone());
+  j->one_zone = r.getOneZone();
+  j->apart = r.getApart();
+  j->spot = r.getSpot();
+  j->estimate_s = r.getEstimateS();
+  j->checkpoint_s = r.getCheckpointS();
+  j->save_s = r.getSaveS();
+  if (r.getDeadlineS() >= 0) j->deadline_s = r.getDeadlineS();
+}
+
+struct Writer {
+  mesh::Frame::Builder f;
+
+  void operator()(std::monostate) { f.setNone(); }
+  void operator()(const MeshPing& p) {
+    auto b = f.initPing();
+    b.setLabel(Txt(p.label));
+    b.setInstance(p.instance);
+    b.setLeading(p.leading);
+    b.setTerm(p.term);
+    b.setLeader(Txt(p.leader));
+    auto list = b.initReaches(static_cast<unsigned>(p.reaches.size()));
+    for (unsigned i = 0; i < list.size(); ++i) list.set(i, Txt(p.reaches[i]));
+  }
+  void operator()(const UserAsk& a) {
+    auto b = f.initUserAsk();
+    b.setOp(static_cast<uint8_t>(a.op));
+    b.setId(Txt(a.id));
+    b.setInvalid(Txt(a.invalid));
+    if (a.op == UserOp::kSubmit && a.invalid.empty()) Put(a.job, b.initJob());
+  }
+  void operator()(const UserReply& r) {
+    auto b = f.initUserReply();
+    b.setStatus(static_cast<uint16_t>(r.status));
+    b.setState(static_cast<uint8_t>(r.state));
+    b.setDone(r.done);
+    b.setRunning(r.running);
+    b.setError(Txt(r.error));
+    b.setRetryAfterS(static_cast<uint16_t>(r.retry_after_s));
+  }
+  void operator()(const Report& r) {
+    auto b = f.initReport();
+    b.setMachine(Txt(r.machine));
+    b.setEndpoint(Txt(r.endpoint));
+    b.setType(Txt(r.type));
+    b.setZone(Txt(r.zone));
+    b.setSpot(r.spot);
+    b.setSession(r.session);
+    b.setSeq(r.seq);
+    b.setToken(r.token);
+    b.setNoticeS(r.notice_s.value_or(-1));
+    auto list = b.initTasks(static_cast<unsigned>(r.tasks.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      const TaskReport& t = r.tasks[i];
+      list[i].setTask(Txt(t.task));
+      list[i].setAttempt(t.attempt);
+      list[i].setState(static_cast<uint8_t>(t.state));
+      list[i].setWhy(static_cast<uint8_t>(t.why));
+      list[i].setSaved(t.saved);
+    }
+  }
+  void operator()(const ReportReply& r) {
+    auto b = f.initReportReply();
+    b.setStatus(static_cast<uint16_t>(r.status));
+    b.setToken(r.token);
+    b.setReportTo(Txt(r.report_to));
+    auto list = b.initCommands(static_cast<unsigned>(r.commands.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      const Command& c = r.commands[i];
+      list[i].setOp(static_cast<uint8_t>(c.op));
+      list[i].setTask(Txt(c.task));
+      list[i].setAttempt(c.attempt);
+      list[i].setGraceS(c.grace_s);
+    }
+  }
+};
+
+void Read(mesh::Frame::Reader f, MeshFrame* out) {
+  out->id = f.getId();
+  out->target = Str(f.getTarget());
+  out->hops = f.getHops();
+  switch (f.which()) {
+    case mesh::Frame::NONE:
+      break;
+    case mesh::Frame::PING: {
+      auto r = f.getPing();
+      MeshPing p;
+      p.label = Str(r.getLabel());
+      p.instance = r.getInstance();
+      p.leading = r.getLeading();
+      p.term = r.getTerm();
+      p.leader = Str(r.getLeader());
+      for (auto t : r.getReaches()) p.reaches.push_back(Str(t));
+      out->body = std::move(p);
+      break;
+    }
+    case mesh::Frame::USER_ASK: {
+      auto r = f.getUserAsk();
+      UserAsk a;
+      a.op = static_cast<UserOp>(r.getOp() > 2 ? 0 : r.getOp());
+      a.id = Str(r.getId());
+      a.invalid = Str(r.getInvalid());
+      if (r.hasJob()) Get(r.getJob(), &a.job);
+      out->body = std::move(a);
+      break;
+    }
+    case mesh::Frame::USER_REPLY: {
+      auto r = f.getUserReply();
+      UserReply u;
+      u.status = r.getStatus();
+      u.state = static_cast<JobState>(r.getState() & 3);
+      u.done = r.getDone();
+      u.running = r.getRunning();
+      u.error = Str(r.getError());
+      u.retry_after_s = r.getRetryAfterS();
+      out->body = std::move(u);
+      break;
+    }
+    case mesh::Frame::REPORT: {
+      auto r = f.getReport();
+      Report p;
+      p.machine = Str(r.getMachine());
+      p.endpoint = Str(r.getEndpoint());
+      p.type = Str(r.getType());
+      p.zone = Str(r.getZone());
+      p.spot = r.getSpot();
+      p.session = r.getSession();
+      p.seq = r.getSeq();
+      p.token = r.getToken();
+      if (r.getNoticeS() >= 0) p.notice_s = r.getNoticeS();
+      for (auto t : r.getTasks()) {
+        TaskReport row;
+        row.task = Str(t.getTask());
+        row.attempt = t.getAttempt();
+        row.state = static_cast<TaskState>(t.getState() & 3);
+        row.why = static_cast<ExitWhy>(t.getWhy() > 6 ? 3 : t.getWhy());
+        row.saved = t.getSaved();
+        p.tasks.push_back(std::move(row));
+      }
+      out->body = std::move(p);
+      break;
+    }
+    case mesh::Frame::REPORT_REPLY: {
+      auto r = f.getReportReply();
+      ReportReply p;
+      p.status = r.getStatus();
+      p.token = r.getToken();
+      p.report_to = Str(r.getReportTo());
+      for (auto c : r.getCommands()) {
+        Command row;
+        row.op = static_cast<CommandOp>(c.getOp() > 2 ? 2 : c.getOp());
+        row.task = Str(c.getTask());
+        row.attempt = c.getAttempt();
+        row.grace_s = c.getGraceS();
+        p.commands.push_back(std::move(row));
+      }
+      out->body = std::move(p);
+      break;
+    }
+  }
+}
+
+}  // namespace
+
+void EncodeFrame(const MeshFrame& frame, std::string* out) {
+  capnp::MallocMessageBuilder builder;
+  auto f = builder.initRoot<mesh::Frame>();
+  f.setId(frame.id);
+  f.setTarget(Txt(frame.target));
+  f.setHops(frame.hops);
+  std::visit(Writer{f}, frame.body);
+  auto words = capnp::messageToFlatArray(builder);
+  auto bytes = words.asBytes();
+  const auto n = static_cast<uint32_t>(bytes.size());
+  for (int i = 0; i < 4; ++i) out->push_back(static_cast<char>((n >> (8 * i)) & 255));
+  out->append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+}
+
+bool DecodeFrame(std::string_view bytes, MeshFrame* frame) {
+  if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0) return false;
+  auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+  std::memcpy(words.begin(), bytes.data(), bytes.size());
+  bool ok = true;
+  auto failed = kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(words);
+    Read(reader.getRoot<mesh::Frame>(), frame);
+  });
+  KJ_IF_MAYBE(e, failed) {
+    (void)e;
+    ok = false;
+  }
+  return ok;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/wire/state_codec.cc
@@ -0,0 +1,95 @@
+#include "wire/state_codec.h"
+
+namespace deckhall {
+namespace {
+
+std::string Render(const JsonValue& v) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  v.Accept(w);
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+bool ReadRow(const JsonValue& row, KvRow* out) {
+  if (!JsonString(row, "key", &out->key) || !JsonU64(row, "huella", &out->version)) return false;
+  const JsonValue* data = JsonMember(row, "data");
+  if (data == nullptr) return false;
+  out->value = Render(*data);
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeTxn(const Txn& txn) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.StartObject();
+  w.Key("if");
+  w.StartArray();
+  for (const auto& c : txn.conditions) {
+    w.StartObject();
+    PutString(w, "key", c.key);
+    w.Key("huella");
+    w.Uint64(c.version);
+    w.EndObject();
+  }
+  w.EndArray();
+  if (!txn.writes.empty()) {
+    w.Key("writes");
+    w.StartArray();
+    for (const auto& op : txn.writes) {
+      w.StartObject();
+      if (op.value.empty()) {
+        PutString(w, "remove", op.key);
+      } else {
+        PutString(w, "put", op.key);
+        w.Key("data");
+        w.RawValue(op.value.data(), op.value.size(), rapidjson::kObjectType);
+        if (op.lease != 0) {
+          w.Key("amarre");
+          w.Uint64(op.lease);
+        }
+      }
+      w.EndObject();
+    }
+    w.EndArray();
+  }
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+std::string EncodeGrant(int ttl_ms) { return "{\"ttl_ms\":" + std::to_string(ttl_ms) + "}"; }
+
+bool DecodeRow(std::string_view body, KvRow* out) {
+  rapidjson::Document doc;
+  return ParseJson(body, &doc) && ReadRow(doc, out);
+}
+
+bool DecodeRows(std::string_view body, std::vector<KvRow>* rows, bool* truncated,
+                uint64_t* revision) {
+  rapidjson::Document doc;
+  if (!ParseJson(body, &doc)) return false;
+  const JsonValue* items = JsonMember(doc, "rows");
+  if (items == nullptr || !items->IsArray()) return false;
+  *truncated = false;
+  JsonBool(doc, "truncated", truncated);
+  if (!JsonU64(doc, "marea", revision)) return false;
+  for (const auto& item : items->GetArray()) {
+    KvRow row;
+    if (!ReadRow(item, &row)) return false;
+    rows->push_back(std::move(row));
+  }
+  return true;
+}
+
+bool DecodeRevision(std::string_view body, uint64_t* revision) {
+  rapidjson::Document doc;
+  return ParseJson(body, &doc) && JsonU64(doc, "marea", revision);
+}
+
+bool DecodeGrant(std::string_view body, uint64_t* lease) {
+  rapidjson::Document doc;
+  return ParseJson(body, &doc) && JsonU64(doc, "amarre", lease) && *lease != 0;
+}
+
+}  // namespace deckhall
