--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -80,6 +80,7 @@
   RowId row = kNoRow;
   std::vector<RowId> chunks;    // further rows of finished tasks
   bool told = false;            // accepted durably
+  bool end_told = false;        // its end is durable; stays true when its row is rewritten
   bool from_store = false;      // accepted in an earlier term
 
   // Ranking.
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -123,7 +123,7 @@
   r.running = job.running;
   r.state = job.running > 0 ? JobState::kRunning : JobState::kPending;
   if (job.life == JobLife::kLive) return r;
-  if (!book_.Durable(j)) return r;  // nobody was told of the end yet
+  if (!job.end_told) return r;  // nobody was told of the end yet
   r.state = job.life == JobLife::kDone ? JobState::kDone : JobState::kCancelled;
   r.running = 0;
   return r;
@@ -137,7 +137,7 @@
   const bool trusted = ports_.lease->Trusted();
   const JobIdx j = book_.Find(ask.id);
   // Final states never change: they may be told without the lease.
-  if (j != kNone && book_[j].told && book_[j].life != JobLife::kLive && book_.Durable(j)) {
+  if (j != kNone && book_[j].end_told) {
     done(State(j, 200));
     return;
   }
@@ -269,6 +269,11 @@
       fleet_.changed = true;
     }
   }
+  for (JobIdx j : book_.fading()) {
+    // Once told it stays told: the row may be rewritten later, the answer may not
+    // go back.
+    if (book_.Durable(j)) book_[j].end_told = true;
+  }
   const bool trusted = ports_.lease->Trusted();
   std::vector<Waiter> ready;
   std::vector<Waiter> rest;
@@ -498,7 +503,7 @@
   const std::vector<JobIdx> fading = book_.fading();
   for (JobIdx j : fading) {
     Job& job = book_[j];
-    if (now - job.ended_at < keep || job.unseen > 0 || !book_.Durable(j)) continue;
+    if (now - job.ended_at < keep || job.unseen > 0 || !job.end_told) continue;
     bool on = false;
     for (MachIdx m = 0; m < fleet_.size() && !on; ++m) {
       on = std::any_of(fleet_[m].slots.begin(), fleet_[m].slots.end(),
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -190,7 +190,7 @@
     sent_.push_back(i);
     p.dirty = p.urgent = false;
     for (RowId id : p.rows) {
-      rows_[id].in_flight = true;
+      rows_[id].in_flight = rows_[id].dirty;
       rows_[id].dirty = false;
     }
   }
