--- a/src/app/tuning.cc
+++ b/src/app/tuning.cc
@@ -79,17 +79,18 @@
   gcry_sexp_t raw = nullptr;
   size_t offset = 0;
   if (gcry_sexp_sscan(&raw, &offset, text.data(), text.size()) != 0) {
-    return "not an S-expression (at byte " + std::to_string(offset) + ")";
+    return "not an S-expression (at byte " + std::to_string(offset) +
+           "); numbers go in quotes, as in (lease-ms \"2500\")";
   }
   const Sexp root = Own(raw);
   if (Atom(root.get(), 0) != "deckhall") return "does not begin with (deckhall";
   for (int i = 1; i < gcry_sexp_length(root.get()); ++i) {
     const Sexp section = Own(gcry_sexp_nth(root.get(), i));
-    if (!section) return "a section is not a list";
+    if (!section || !Atom(root.get(), i).empty()) return "a section is not a list";
     const std::string name = Atom(section.get(), 0);
     for (int k = 1; k < gcry_sexp_length(section.get()); ++k) {
       const Sexp entry = Own(gcry_sexp_nth(section.get(), k));
-      if (!entry) return name + ": an entry is not a list";
+      if (!entry || !Atom(section.get(), k).empty()) return name + ": an entry is not a list";
       std::string bad = SetField(name, entry.get(), out);
       if (!bad.empty()) return bad;
     }
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -157,6 +157,9 @@
   Machine& m = machines_[mi];
   slot->seen = true;
   if (slot->gone) return;
+  if (slot->state != t.state) {
+    spdlog::debug("{} on {} is in state {}", slot->name, m.name, static_cast<int>(t.state));
+  }
   slot->state = t.state;
   if (slot->job != kNone && t.state != TaskState::kFetching && t.why != ExitWhy::kNoRoom &&
       t.why != ExitWhy::kInUse && t.why != ExitWhy::kUnknown) {
@@ -221,6 +224,7 @@
   Machine& m = machines_[mi];
   slot->gone = true;
   changed = true;
+  spdlog::debug("{} on {} exited, why {}", slot->name, m.name, static_cast<int>(slot->why));
   if (slot->job != kNone && (*book_)[slot->job].full) {
     Job& job = (*book_)[slot->job];
     Task& t = job.tasks[slot->task];
@@ -249,16 +253,15 @@
   }
   if (on_exit) on_exit(mi, *slot);
   RecountRunning(slot, false);
-  (void)m;
 }
 
-void Fleet::Place(MachIdx mi, JobIdx j, uint32_t task) {
+void Fleet::Place(MachIdx mi, JobIdx j, uint32_t task, uint64_t attempt) {
   Machine& m = machines_[mi];
   const Job& job = (*book_)[j];
   Slot slot;
   slot.job = j;
   slot.task = task;
-  slot.attempt = next_attempt_++;
+  slot.attempt = attempt;
   slot.name = job.id + "/" + std::to_string(task);
   slot.team = job.team;
   slot.cores = job.spec.cores;
@@ -266,6 +269,7 @@
   slot.memory_gb = job.spec.memory_gb;
   slot.launched_at = clock_->Now();
   book_->Place(j, task, mi, slot.attempt);
+  spdlog::debug("{} goes to {} (attempt {})", slot.name, m.name, slot.attempt);
   m.slots.push_back(std::move(slot));
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,7 +37,9 @@
   // known already.
   bool Process(MachIdx m, const Report& report);
   // Puts a task there; the launch goes out with the next commands.
-  void Place(MachIdx m, JobIdx job, uint32_t task);
+  void Place(MachIdx m, JobIdx job, uint32_t task, uint64_t attempt);
+  // A number never used for an attempt before.
+  uint64_t NewAttempt() { return next_attempt_++; }
   // Wants the slot gone.
   void Unwant(Slot* slot, double grace_s);
   void UnwantJob(JobIdx job);
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -173,7 +173,7 @@
     if (t.name == spec.team) team = &t;
   }
   if (team == nullptr) return "unknown team";
-  const double n = spec.service ? spec.tasks : 1;
+  const double n = spec.service || spec.gang ? spec.tasks : 1;
   if (team->cores_max > 0 && spec.cores * n > team->cores_max + 1e-6) {
     return "more cores than the team's limit";
   }
@@ -366,6 +366,11 @@
       }
       break;
     }
+    case ExitWhy::kPeers:
+    case ExitWhy::kIncomplete:
+      // No fault of this machine; the gang starts again as a whole.
+      job.backoff_until = std::max(job.backoff_until, now + 1);
+      break;
     case ExitWhy::kStopped:
     case ExitWhy::kNone:
       break;
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double kEps = 1e-6;
+// A gang that waited so long has machines kept free for it.
+constexpr double kGangPatience = 15;
 constexpr double kRateMemory = 120;  // seconds over which arrivals are averaged
 
 }  // namespace
@@ -282,9 +284,9 @@
   return n;
 }
 
-void Placer::Put(JobIdx j, uint32_t task, Node* node) {
+void Placer::Put(JobIdx j, uint32_t task, Node* node, uint64_t attempt) {
   Job& job = (*book_)[j];
-  fleet_->Place(node->machine, j, task);
+  fleet_->Place(node->machine, j, task, attempt);
   use_[job.team].cores += job.spec.cores;
   use_[job.team].gpus += job.spec.gpus;
   node->cores -= job.spec.cores;
@@ -332,12 +334,78 @@
     Node* node = &nodes_[static_cast<size_t>(at)];
     const uint32_t task = job.waiting.back();
     on.push_back(node->machine);
-    Put(j, task, node);
+    Put(j, task, node, fleet_->NewAttempt());
     ++placed;
   }
   return placed;
 }
 
+// All tasks of a gang at once, or none.
+void Placer::PlaceGang(JobIdx j) {
+  Job& job = (*book_)[j];
+  const double now = clock_->Now();
+  // While some of its tasks are still on machines they end by themselves, missing
+  // their peers; then all start together.
+  if (!job.told || job.waiting.empty() || job.placed > 0 || job.unseen > 0 ||
+      now < job.backoff_until) {
+    return;
+  }
+  std::vector<char> types;
+  std::vector<char> zones;
+  std::vector<uint32_t> on;
+  const std::vector<Node> nodes_before = nodes_;
+  const std::vector<TeamUse> use_before = use_;
+  std::vector<size_t> chosen;
+  const auto count = static_cast<uint32_t>(job.waiting.size());
+  bool limited = false;
+  for (uint32_t i = 0; i < count; ++i) {
+    limited = !TeamRoom(job);
+    if (limited || !ZoneRoom(job, &zones, on)) break;
+    const Need need = NeedOf(j, &types, &zones, &on);
+    const int at = PickNode(need, nodes_);
+    if (at < 0) break;
+    Node& node = nodes_[static_cast<size_t>(at)];
+    on.push_back(node.machine);
+    chosen.push_back(static_cast<size_t>(at));
+    use_[job.team].cores += job.spec.cores;
+    use_[job.team].gpus += job.spec.gpus;
+    node.cores -= job.spec.cores;
+    node.gpus -= job.spec.gpus;
+    node.memory_gb -= job.spec.memory_gb;
+  }
+  nodes_ = nodes_before;
+  use_ = use_before;
+  if (chosen.size() == count) {
+    // Its tasks gather by their attempt: one number for all of them.
+    const uint64_t attempt = fleet_->NewAttempt();
+    for (size_t at : chosen) Put(j, job.waiting.back(), &nodes_[at], attempt);
+    return;
+  }
+  if (!limited && now - job.waiting_since > kGangPatience) {
+    std::vector<char> no_zones;
+    HoldFor(NeedOf(j, &types, &no_zones, nullptr), count);
+  }
+}
+
+// Keeps machines from jobs ranked lower until a gang has room on them: otherwise
+// freed pieces would go to small tasks for ever.
+void Placer::HoldFor(const Need& need, uint32_t tasks) {
+  std::vector<size_t> order;
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].usable && Allows(need, nodes_[i].type, nodes_[i].zone, nodes_[i].spot)) {
+      order.push_back(i);
+    }
+  }
+  std::sort(order.begin(), order.end(),
+            [this](size_t a, size_t b) { return nodes_[a].cores > nodes_[b].cores; });
+  double held = 0;
+  for (size_t i : order) {
+    if (held >= tasks) return;
+    nodes_[i].usable = false;
+    held += need.cores > 0 ? std::floor(nodes_[i].total_cores / need.cores + kEps) : tasks;
+  }
+}
+
 // Makes room for a task of a job that may claim it: a higher priority, or a
 // guarantee against what another team runs beyond its own.
 void Placer::Preempt(JobIdx j) {
@@ -374,7 +442,7 @@
       const Slot& s = m.slots[i];
       if (s.gone || !s.keep || s.job == kNone) continue;
       const Job& other = (*book_)[s.job];
-      if (other.spec.service) continue;
+      if (other.spec.service || other.spec.gang) continue;
       const Team* theirs = TeamOf(other.team);
       const bool lower = other.spec.priority < job.spec.priority;
       const bool beyond = job.guaranteed && !other.guaranteed && other.team != job.team &&
@@ -443,6 +511,10 @@
   for (JobIdx j : ranked_) {
     Job& job = (*book_)[j];
     if (job.life != JobLife::kLive || job.waiting.empty()) continue;
+    if (job.spec.gang) {
+      PlaceGang(j);
+      continue;
+    }
     PlaceSome(j, true);
     if (!job.waiting.empty() && job.guaranteed && now >= job.backoff_until && starved < 4) {
       ++starved;
@@ -590,16 +662,31 @@
   double waiting = 0;
   for (JobIdx j : ranked_) {
     const Job& job = (*book_)[j];
-    if (job.life != JobLife::kLive || now < job.backoff_until || job.fail_streak >= 3) continue;
+    if (job.life != JobLife::kLive || job.spec.gang || now < job.backoff_until ||
+        job.fail_streak >= 3) {
+      continue;
+    }
     const double cores = job.spec.cores * static_cast<double>(job.waiting.size());
     waiting += cores;
     backlog += cores * TaskSeconds(job);
   }
+  for (JobIdx j : ranked_) {
+    // A gang needs room for all its tasks at once.
+    const Job& job = (*book_)[j];
+    if (!job.spec.gang || job.life != JobLife::kLive || job.waiting.size() < job.tasks.size()) {
+      continue;
+    }
+    const auto n = static_cast<uint32_t>(job.waiting.size());
+    if (within_limit(job, n) == n) want(j, n);
+  }
   double left = std::min(waiting, backlog / tuning_->drain_s);
   for (JobIdx j : ranked_) {
     const Job& job = (*book_)[j];
     if (left <= 0) break;
-    if (job.life != JobLife::kLive || now < job.backoff_until || job.fail_streak >= 3) continue;
+    if (job.life != JobLife::kLive || job.spec.gang || now < job.backoff_until ||
+        job.fail_streak >= 3) {
+      continue;
+    }
     const double per = std::max(job.spec.cores, 0.1);
     auto n = static_cast<uint32_t>(std::min<double>(static_cast<double>(job.waiting.size()),
                                                     std::ceil(left / per)));
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -59,8 +59,10 @@
               std::vector<uint32_t>* siblings) const;
   bool ZoneRoom(const Job& job, std::vector<char>* zones, const std::vector<uint32_t>& on) const;
   int PlaceSome(JobIdx j, bool hold_back);
+  void PlaceGang(JobIdx j);
+  void HoldFor(const Need& need, uint32_t tasks);
   void Preempt(JobIdx j);
-  void Put(JobIdx j, uint32_t task, Node* node);
+  void Put(JobIdx j, uint32_t task, Node* node, uint64_t attempt);
   Node NodeOf(MachIdx m) const;
   double ServiceHeadroom(double* unit_cores, double* unit_memory) const;
   void ReturnIdle(double headroom);
--- a/src/wire/http_parser.h
+++ b/src/wire/http_parser.h
@@ -35,7 +35,7 @@
   // Status to answer a broken request with.
   int error_status() const { return error_status_; }
   // True while a message has begun and is not complete.
-  bool InMessage() const { return stage_ != Stage::kHead || !buffer_.empty(); }
+  bool InMessage() const { return stage_ != Stage::kHead || cursor_ < buffer_.size(); }
   bool Expects100() const { return expect_continue_; }
   void ClearExpect() { expect_continue_ = false; }
 
--- a/src/wire/job_codec.cc
+++ b/src/wire/job_codec.cc
@@ -52,8 +52,9 @@
   if (!ReadName(o, "cuadrilla", &job->team)) return Bad("cuadrilla");
   std::string word;
   if (!JsonString(o, "forma", &word)) return Bad("forma");
-  if (word != "sweep" && word != "daemon") return Bad("forma");
+  if (word != "sweep" && word != "daemon" && word != "ensemble") return Bad("forma");
   job->service = word == "daemon";
+  job->gang = word == "ensemble";
   if (!JsonString(o, "rango", &word)) return Bad("rango");
   auto* const end = std::end(kPriorityWords);
   auto* const at = std::find(std::begin(kPriorityWords), end, word);
@@ -103,7 +104,7 @@
   PutString(w, "name_id", job.id);
   PutString(w, "clase", job.klass);
   PutString(w, "cuadrilla", job.team);
-  PutString(w, "forma", job.service ? "daemon" : "sweep");
+  PutString(w, "forma", job.service ? "daemon" : job.gang ? "ensemble" : "sweep");
   PutString(w, "rango", kPriorityWords[static_cast<int>(job.priority)]);
   w.Key("faenas");
   w.Uint(job.tasks);
--- a/src/wire/mesh.capnp
+++ b/src/wire/mesh.capnp
@@ -50,6 +50,7 @@
   checkpointS @18 :Float64;
   saveS @19 :Float64;
   deadlineS @20 :Float64; # negative: none
+  gang @21 :Bool;
 }
 
 struct UserAsk {
--- a/src/wire/mesh_codec.cc
+++ b/src/wire/mesh_codec.cc
@@ -19,6 +19,7 @@
   b.setKlass(Txt(j.klass));
   b.setTeam(Txt(j.team));
   b.setService(j.service);
+  b.setGang(j.gang);
   b.setPriority(static_cast<uint8_t>(j.priority));
   b.setTasks(j.tasks);
   b.setCores(j.cores);
@@ -46,6 +47,7 @@
   j->klass = Str(r.getKlass());
   j->team = Str(r.getTeam());
   j->service = r.getService();
+  j->gang = r.getGang();
   j->priority = static_cast<Priority>(r.getPriority() & 3);
   j->tasks = r.getTasks();
   j->cores = r.getCores();
@@ -191,8 +193,8 @@
         TaskReport row;
         row.task = Str(t.getTask());
         row.attempt = t.getAttempt();
-        row.state = static_cast<TaskState>(t.getState() & 3);
-        row.why = static_cast<ExitWhy>(t.getWhy() > 6 ? 3 : t.getWhy());
+        row.state = static_cast<TaskState>(t.getState() > 4 ? 3 : t.getState());
+        row.why = static_cast<ExitWhy>(t.getWhy() > 8 ? 3 : t.getWhy());
         row.saved = t.getSaved();
         p.tasks.push_back(std::move(row));
       }
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -16,6 +16,7 @@
   std::string klass;
   std::string team;
   bool service = false;
+  bool gang = false;  // all its tasks run at the same time
   Priority priority = Priority::kNormal;
   uint32_t tasks = 0;
   double cores = 0;
@@ -36,7 +37,7 @@
 
 enum class JobState : uint8_t { kPending = 0, kRunning = 1, kDone = 2, kCancelled = 3 };
 
-enum class TaskState : uint8_t { kFetching = 0, kRunning = 1, kSaving = 2, kExited = 3 };
+enum class TaskState : uint8_t { kFetching = 0, kRunning = 1, kSaving = 2, kExited = 3, kGathering = 4 };
 
 enum class ExitWhy : uint8_t {
   kNone = 0,
@@ -45,7 +46,9 @@
   kError = 3,
   kNoRoom = 4,
   kInUse = 5,
-  kUnknown = 6
+  kUnknown = 6,
+  kPeers = 7,      // another task of its gang ended
+  kIncomplete = 8  // its gang did not come together in time
 };
 
 struct TaskReport {
--- a/src/wire/worker_codec.cc
+++ b/src/wire/worker_codec.cc
@@ -12,6 +12,8 @@
     *out = TaskState::kRunning;
   } else if (word == "flushing") {
     *out = TaskState::kSaving;
+  } else if (word == "gathering") {
+    *out = TaskState::kGathering;
   } else if (word == "ended") {
     *out = TaskState::kExited;
   } else {
@@ -27,6 +29,8 @@
   if (word == "no_room") return ExitWhy::kNoRoom;
   if (word == "in_use") return ExitWhy::kInUse;
   if (word == "unknown") return ExitWhy::kUnknown;
+  if (word == "peers") return ExitWhy::kPeers;
+  if (word == "incomplete") return ExitWhy::kIncomplete;
   return ExitWhy::kError;
 }
 
--- /dev/null
+++ b/tests/core_test.cc
@@ -0,0 +1,176 @@
+#include <gtest/gtest.h>
+
+#include "app/settings.h"
+#include "app/tuning.h"
+#include "fakes.h"
+#include "leader/election.h"
+#include "sched/capacity.h"
+#include "sched/fsp.h"
+
+namespace deckhall {
+namespace {
+
+// The paper's figure 1: three jobs that use the whole cluster.
+TEST(Fsp, OrdersJobsAsProcessorSharingCompletesThem) {
+  std::vector<FspJob> jobs = {{30, 1, 1}};
+  FspAdvance(&jobs, 1, 10);
+  EXPECT_NEAR(jobs[0].left, 20, 1e-6);
+  jobs.push_back({10, 1, 1});
+  FspAdvance(&jobs, 1, 5);
+  EXPECT_NEAR(jobs[0].left, 17.5, 1e-6);
+  jobs.push_back({10, 1, 1});
+  const auto finish = FspFinish(jobs, 1);
+  EXPECT_LT(finish[1], finish[2]);
+  EXPECT_LT(finish[2], finish[0]);
+  EXPECT_NEAR(finish[0], 35, 1e-6);  // the sum of what is left
+}
+
+TEST(Fsp, AJobGetsNoMoreThanItCanUseAndWeightsCount) {
+  const auto share = FspShares({{10, 1, 2}, {10, 1, 100}, {10, 2, 100}}, 11);
+  EXPECT_NEAR(share[0], 2, 1e-9);
+  EXPECT_NEAR(share[1], 3, 1e-9);
+  EXPECT_NEAR(share[2], 6, 1e-9);
+}
+
+TEST(Capacity, PacksIntoWhatIsThereBeforeItRents) {
+  Offer ordinary{0, 0, false, 8, 0, 64, 1.0, 30, false, 0};
+  Offer spot{0, 0, true, 8, 0, 64, 0.4, 30, false, 0};
+  Need need;
+  need.cores = 2;
+  need.memory_gb = 4;
+  need.spot_ok = true;
+  Node bin;
+  bin.usable = true;
+  bin.cores = 4;
+  bin.memory_gb = 64;
+  auto rent = PlanRentals({ordinary, spot}, {bin}, {{need, 6, false}}, 10);
+  ASSERT_EQ(rent.size(), 1U);
+  EXPECT_EQ(rent[0].offer, 1U);
+  EXPECT_EQ(rent[0].count, 1);
+  need.spot_ok = false;
+  rent = PlanRentals({ordinary, spot}, {}, {{need, 6, false}}, 10);
+  ASSERT_EQ(rent.size(), 1U);
+  EXPECT_EQ(rent[0].offer, 0U);
+  EXPECT_EQ(rent[0].count, 2);
+}
+
+struct ElectionWorld {
+  FakeClock clock;
+  FakeState state;
+  Election election{&state, &clock, {"n0", 77, 2500, 0.5, 0.002}};
+  int won = 0;
+  int lost = 0;
+  ElectionWorld() {
+    election.on_won = [this](uint64_t) { ++won; };
+    election.on_lost = [this] { ++lost; };
+  }
+  void Pass(double seconds) {
+    for (double t = 0; t < seconds; t += 0.05) {
+      clock.now += 0.05;
+      election.Tick();
+      state.Run();
+    }
+  }
+};
+
+TEST(Election, TheLeaseIsTrustedByTheHoldersOwnClockOnly) {
+  ElectionWorld w;
+  w.Pass(1);
+  ASSERT_EQ(w.won, 1);
+  EXPECT_TRUE(w.election.Trusted());
+  w.state.refuse = true;  // an outage, or a 503 that this node alone gets
+  w.Pass(3);
+  EXPECT_FALSE(w.election.Trusted());
+  EXPECT_TRUE(w.election.holding());
+  w.state.refuse = false;
+  w.Pass(1);
+  EXPECT_TRUE(w.election.Trusted());
+  w.state.EndLease(1);
+  w.Pass(1);
+  EXPECT_EQ(w.lost, 1);
+}
+
+TEST(Election, AClaimWhoseAnswerWasLostIsReadBack) {
+  ElectionWorld w;
+  w.state.lose_answers = 1;
+  w.Pass(1);
+  EXPECT_EQ(w.won, 1);
+  EXPECT_EQ(w.election.term(), w.state.keys[Election::kKey].version);
+}
+
+TEST(Election, AnotherHolderIsWaitedForAndAnEarlierSelfIsNot) {
+  ElectionWorld w;
+  w.state.leases[5] = true;
+  w.state.keys[Election::kKey] = {R"({"label":"n1","instance":9,"lease":5})", 50, 5};
+  w.Pass(2);
+  EXPECT_EQ(w.won, 0);
+  EXPECT_EQ(w.state.watches.size(), 1U);
+  ElectionWorld v;
+  v.state.leases[5] = true;
+  v.state.keys[Election::kKey] = {R"({"label":"n0","instance":9,"lease":5})", 50, 5};
+  v.Pass(2);
+  EXPECT_EQ(v.won, 1);
+}
+
+TEST(RowStore, ABurstOfSubmissionsFitsTheWriteBudget) {
+  World w;
+  w.Lead();
+  w.state.committed.clear();
+  int accepted = 0;
+  for (int i = 0; i < 100; ++i) {
+    UserAsk ask;
+    ask.op = UserOp::kSubmit;
+    ask.id = "job-" + std::to_string(i);
+    ask.job = w.Array(ask.id, 3);
+    w.leader->User(ask, [&accepted](const UserReply& r) { accepted += r.status == 201 ? 1 : 0; });
+  }
+  w.Settle();
+  EXPECT_EQ(accepted, 100);
+  size_t puts = 0;
+  for (const Txn& t : w.state.committed) {
+    puts += t.writes.size();
+    for (const TxnWrite& write : t.writes) EXPECT_LE(write.value.size(), 8192U);
+  }
+  EXPECT_LE(puts, 20U);
+}
+
+TEST(Settings, GoodOnesAreReadAndBadOnesNamed) {
+  const std::string good =
+      R"({"label":"n0","site":"a","serve_on":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
+"siblings":[{"label":"n1","site":"b","endpoint":"127.0.0.1:3"}],"new_field":[],
+"external":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},
+"cluster":{"zones":["a","b"],"teams":[{"name":"t","cpus":1,"cpus_max":2}],
+"workers":{"lease_s":30,"cancel_s":55},"state":{"rps":60},"quota":{"max_sockets":2500}}})";
+  Settings s;
+  EXPECT_EQ(ReadSettings(good, &s), "");
+  EXPECT_EQ(s.teams[0].cores_max, 2);
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+           {"\"n0\"", "0"},
+           {"127.0.0.1:1\"", "here\""},
+           {"127.0.0.1:5", "127.0.0.1:99999"},
+           {"\"rps\":60", "\"rps\":-1"},
+           {"\"cpus\":1", "\"cpus\":\"x\""},
+           {"\"n1\"", "\"n0\""},
+           {"\"zones\":[\"a\",\"b\"]", "\"zones\":3"}}) {
+    std::string bad = good;
+    bad.replace(bad.find(from), from.size(), to);
+    Settings out;
+    EXPECT_NE(ReadSettings(bad, &out), "") << to;
+  }
+}
+
+TEST(Tuning, SExpressionsAreReadAndChecked) {
+  Tuning t;
+  EXPECT_EQ(ReadTuning(R"x((deckhall (leader (lease-ms "4000")) (rank (weight-idle "0.5"))))x", &t), "");
+  EXPECT_EQ(t.lease_ms, 4000);
+  EXPECT_EQ(t.weight_idle, 0.5);
+  for (const char* bad : {"", "(", "(other)", "(deckhall (leader (lease-ms x)))", "(deckhall (leader (lease-ms 4000)))",
+                          R"x((deckhall (leader (lease-ms "1"))))x", "(deckhall leader)",
+                          R"x((deckhall (leader (lease-ms "1000") (renew-ms "900"))))x"}) {
+    Tuning out;
+    EXPECT_NE(ReadTuning(bad, &out), "") << bad;
+  }
+}
+
+}  // namespace
+}  // namespace deckhall
--- /dev/null
+++ b/tests/fakes.h
@@ -0,0 +1,410 @@
+// Stand-ins for the outside, scripted by the tests; time moves by hand.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "app/settings.h"
+#include "app/tuning.h"
+#include "leader/leader.h"
+
+namespace deckhall {
+
+struct FakeClock : Clock {
+  double now = 1000;
+  double Now() const override { return now; }
+  double Wall() const override { return now + 5e8; }
+};
+
+// A small consistent store. What it does with requests can be scripted: refuse
+// them, or carry them out and lose the answer.
+struct FakeState : StatePort {
+  struct Entry {
+    std::string value;
+    uint64_t version;
+    uint64_t lease;
+  };
+  std::map<std::string, Entry> keys;
+  uint64_t revision = 100;
+  uint64_t next_lease = 1;
+  std::map<uint64_t, bool> leases;
+  bool refuse = false;       // 503
+  int lose_answers = 0;      // carried out, answer lost
+  int hold_commits = 0;      // not carried out now; see Late()
+  std::vector<Txn> late;
+  std::vector<Txn> committed;
+  double write_room = 100;
+  std::deque<std::function<void()>> queue;
+
+  void Run() {
+    while (!queue.empty()) {
+      auto fn = std::move(queue.front());
+      queue.pop_front();
+      fn();
+    }
+  }
+  void Answer(Done done, StateAnswer answer) {
+    queue.push_back([done = std::move(done), answer] { done(answer); });
+  }
+  StateAnswer Apply(const Txn& txn) {
+    StateAnswer a;
+    a.outcome = StateOutcome::kConflict;
+    for (const auto& c : txn.conditions) {
+      auto it = keys.find(c.key);
+      if ((it == keys.end() ? 0 : it->second.version) != c.version) return a;
+    }
+    for (const auto& w : txn.writes) {
+      if (w.lease != 0 && !leases.contains(w.lease)) return a;
+    }
+    ++revision;
+    for (const auto& w : txn.writes) {
+      if (w.value.empty()) {
+        keys.erase(w.key);
+      } else {
+        keys[w.key] = {w.value, revision, w.lease};
+      }
+    }
+    committed.push_back(txn);
+    a.outcome = StateOutcome::kOk;
+    a.number = revision;
+    return a;
+  }
+  // A transaction that was held back is applied after all.
+  void Late() {
+    for (const Txn& t : std::exchange(late, {})) Apply(t);
+  }
+  void Commit(const Txn& txn, Done done) override {
+    StateAnswer a;
+    if (refuse) {
+      a.outcome = StateOutcome::kRefused;
+    } else if (hold_commits > 0) {
+      --hold_commits;
+      late.push_back(txn);
+    } else {
+      a = Apply(txn);
+      if (lose_answers > 0) {
+        --lose_answers;
+        a = StateAnswer();
+      }
+    }
+    Answer(std::move(done), a);
+  }
+  void Get(const std::string& key, Done done) override {
+    StateAnswer a;
+    a.outcome = refuse ? StateOutcome::kRefused : StateOutcome::kOk;
+    auto it = keys.find(key);
+    if (it != keys.end()) {
+      a.found = true;
+      a.rows.push_back({key, it->second.value, it->second.version});
+    }
+    a.number = revision;
+    Answer(std::move(done), a);
+  }
+  void List(const std::string& prefix, const std::string& after, Done done) override {
+    StateAnswer a;
+    a.outcome = refuse ? StateOutcome::kRefused : StateOutcome::kOk;
+    for (const auto& [key, e] : keys) {
+      if (key.starts_with(prefix) && key > after) a.rows.push_back({key, e.value, e.version});
+    }
+    a.number = revision;
+    Answer(std::move(done), a);
+  }
+  void Grant(int, Done done) override {
+    StateAnswer a;
+    a.outcome = refuse ? StateOutcome::kRefused : StateOutcome::kOk;
+    a.number = next_lease++;
+    if (!refuse) leases[a.number] = true;
+    Answer(std::move(done), a);
+  }
+  void Extend(uint64_t lease, double, Done done) override {
+    StateAnswer a;
+    a.outcome = refuse                   ? StateOutcome::kRefused
+                : leases.contains(lease) ? StateOutcome::kOk
+                                         : StateOutcome::kConflict;
+    Answer(std::move(done), a);
+  }
+  void EndLease(uint64_t lease) {
+    leases.erase(lease);
+    std::erase_if(keys, [lease](const auto& e) { return e.second.lease == lease; });
+    ++revision;
+  }
+  void Drop(uint64_t lease, Done done) override {
+    EndLease(lease);
+    StateAnswer a;
+    a.outcome = StateOutcome::kOk;
+    Answer(std::move(done), a);
+  }
+  void Watch(const std::string&, uint64_t, int, Done done) override {
+    watches.push_back(std::move(done));
+  }
+  std::vector<Done> watches;
+  double WriteRoom() override { return write_room; }
+};
+
+struct FakeCloud : CloudPort {
+  std::vector<MachineType> types;
+  std::vector<std::pair<std::string, int>> rented;  // request, count
+  std::vector<std::string> returned;
+  bool out = false;
+  bool refuse = false;
+  int next = 0;
+  std::deque<std::function<void()>> queue;
+
+  void Run() {
+    while (!queue.empty()) {
+      auto fn = std::move(queue.front());
+      queue.pop_front();
+      fn();
+    }
+  }
+  void Types(std::function<void(bool, std::vector<MachineType>)> done) override {
+    queue.push_back([this, done] { done(!out, types); });
+  }
+  void Rent(const std::string& request, const std::string&, const std::string&, bool, int count,
+            std::function<void(RentAnswer)> done) override {
+    rented.emplace_back(request, count);
+    RentAnswer a;
+    a.ok = !out && !refuse;
+    a.refused = refuse;
+    for (int i = 0; i < count && a.ok; ++i) a.machines.push_back("m-9" + std::to_string(next++));
+    queue.push_back([done, a] { done(a); });
+  }
+  void Return(const std::vector<std::string>& machines, std::function<void(bool)> done) override {
+    if (!out) returned.insert(returned.end(), machines.begin(), machines.end());
+    queue.push_back([this, done] { done(!out); });
+  }
+  void List(const std::string&,
+            std::function<void(bool, std::vector<ListedMachine>, bool)> done) override {
+    queue.push_back([done] { done(false, {}, false); });
+  }
+};
+
+// Workers that answer commands as PROTOCOL says, unless they are silent.
+struct FakeWorker {
+  Report report;
+  bool silent = false;       // nothing arrives, nothing is answered
+  int lose_answers = 0;      // executed, answer lost
+  int hold = 0;              // commands held back; see Late()
+  std::vector<std::pair<uint64_t, std::pair<uint64_t, std::vector<Command>>>> held;
+  std::vector<std::string> started;
+
+  void Execute(uint64_t token, const std::vector<Command>& commands) {
+    report.token = std::max(report.token, token);
+    for (const Command& c : commands) {
+      auto it = std::find_if(report.tasks.begin(), report.tasks.end(), [&c](const TaskReport& t) {
+        return t.task == c.task && t.attempt == c.attempt;
+      });
+      if (c.op == CommandOp::kStart && it == report.tasks.end()) {
+        report.tasks.push_back({c.task, c.attempt, TaskState::kRunning, ExitWhy::kNone, false});
+        started.push_back(c.task);
+      } else if (c.op == CommandOp::kStop && it != report.tasks.end()) {
+        End(c.task, ExitWhy::kStopped);
+      } else if (c.op == CommandOp::kForget && it != report.tasks.end()) {
+        report.tasks.erase(it);
+      }
+    }
+  }
+  void End(const std::string& task, ExitWhy why) {
+    for (TaskReport& t : report.tasks) {
+      if (t.task == task && t.state != TaskState::kExited) {
+        t.state = TaskState::kExited;
+        t.why = why;
+      }
+    }
+  }
+  bool Has(const std::string& task) const {
+    return std::any_of(report.tasks.begin(), report.tasks.end(), [&task](const TaskReport& t) {
+      return t.task == task && t.state != TaskState::kExited;
+    });
+  }
+  // Commands that were held back arrive.
+  void Late() {
+    for (auto& [token, rest] : std::exchange(held, {})) {
+      if (token >= report.token && rest.first == report.session) Execute(token, rest.second);
+    }
+  }
+};
+
+struct FakeWorkers : WorkerPort {
+  std::map<std::string, FakeWorker> at;  // by endpoint
+  std::deque<std::function<void()>> queue;
+
+  void Run() {
+    while (!queue.empty()) {
+      auto fn = std::move(queue.front());
+      queue.pop_front();
+      fn();
+    }
+  }
+  void Do(const std::string& endpoint, uint64_t token, uint64_t session,
+          const std::vector<Command>& commands, double, Done done) override {
+    FakeWorker& w = at[endpoint];
+    WorkerAnswer a;
+    a.sent = true;
+    if (w.hold > 0) {
+      --w.hold;
+      w.held.push_back({token, {session, commands}});
+    } else if (!w.silent) {
+      const bool ok = token >= w.report.token && session == w.report.session;
+      if (ok) w.Execute(token, commands);
+      ++w.report.seq;
+      a.status = ok ? 200 : 409;
+      a.has_report = true;
+      a.report = w.report;
+      if (w.lose_answers > 0) {
+        --w.lose_answers;
+        a = WorkerAnswer();
+        a.sent = true;
+      }
+    }
+    queue.push_back([done, a] { done(a); });
+  }
+  void Inspect(const std::string& endpoint, double, Done done) override {
+    FakeWorker& w = at[endpoint];
+    WorkerAnswer a;
+    a.sent = true;
+    if (!w.silent) {
+      ++w.report.seq;
+      a.status = 200;
+      a.has_report = true;
+      a.report = w.report;
+    }
+    queue.push_back([done, a] { done(a); });
+  }
+};
+
+struct FakeLease : LeaseView {
+  const FakeClock* clock = nullptr;
+  double until = 1e12;
+  bool Trusted() const override { return clock->now < until; }
+  double TrustedUntil() const override { return until; }
+};
+
+// Everything around one leader; a second one can take over the same store.
+struct World {
+  FakeClock clock;
+  FakeState state;
+  FakeCloud cloud;
+  FakeWorkers workers;
+  FakeLease lease;
+  Settings settings;
+  Tuning tuning;
+  std::unique_ptr<Leader> leader;
+  std::vector<std::unique_ptr<Leader>> former;
+  bool deposed = false;
+
+  World() {
+    lease.clock = &clock;
+    settings.label = "n0";
+    settings.zones = {"east", "west"};
+    settings.teams = {{"blue", 8, 16, 0, 0}, {"red", 0, 0, 0, 0}};
+    settings.lease_s = 20;
+    settings.cancel_s = 40;
+    MachineType t;
+    t.name = "box";
+    t.cores = 8;
+    t.memory_gb = 64;
+    t.price = 1;
+    t.spot_price = 0.4;
+    t.boot_s = 30;
+    t.fetch_gb_per_s = 1;
+    t.zones = {"east", "west"};
+    cloud.types = {t};
+  }
+  void Lead() {
+    if (leader) {
+      leader->Retire();
+      former.push_back(std::move(leader));
+    }
+    ++state.revision;
+    state.keys["leader"] = {"{}", state.revision, 0};
+    lease.until = 1e12;
+    leader = std::make_unique<Leader>(
+        LeaderPorts{&state, &cloud, &workers, &clock, &lease}, &settings, &tuning, "leader",
+        state.revision);
+    leader->on_deposed = [this](const char*) { deposed = true; };
+    leader->Begin();
+    Settle();
+  }
+  void Settle() {
+    for (int i = 0; i < 12; ++i) {
+      state.Run();
+      cloud.Run();
+      workers.Run();
+      if (leader) leader->Tick();
+    }
+  }
+  // Lets time pass in small steps; workers that are not silent report.
+  void Pass(double seconds, bool reports = true) {
+    const double end = clock.now + seconds;
+    while (clock.now < end) {
+      clock.now += 0.5;
+      if (reports) {
+        for (auto& [endpoint, w] : workers.at) ReportNow(&w);
+      }
+      Settle();
+    }
+  }
+  void ReportNow(FakeWorker* w) {
+    if (w->silent || w->report.machine.empty()) return;
+    ++w->report.seq;
+    const ReportReply reply = leader->OnReport(w->report);
+    if (reply.status == 200 && reply.token >= w->report.token) {
+      w->Execute(reply.token, reply.commands);
+    }
+  }
+  FakeWorker& Machine(const std::string& name, const std::string& zone, bool spot = false) {
+    FakeWorker& w = workers.at[name + ":1"];
+    w.report.machine = name;
+    w.report.endpoint = name + ":1";
+    w.report.type = "box";
+    w.report.zone = zone;
+    w.report.spot = spot;
+    w.report.session = 1;
+    ReportNow(&w);
+    Settle();
+    ReportNow(&w);
+    Settle();
+    return w;
+  }
+  JobSpec Array(const std::string& id, uint32_t tasks, double cores = 2) {
+    JobSpec s;
+    s.id = id;
+    s.klass = "sums";
+    s.team = "blue";
+    s.tasks = tasks;
+    s.cores = cores;
+    s.memory_gb = 4;
+    s.image = "img";
+    s.image_gb = 1;
+    s.estimate_s = 30;
+    return s;
+  }
+  JobSpec Service(const std::string& id, uint32_t tasks, double cores = 2) {
+    JobSpec s = Array(id, tasks, cores);
+    s.klass = "live";
+    s.service = true;
+    s.priority = Priority::kProduction;
+    s.estimate_s = 0;
+    return s;
+  }
+  UserReply Ask(UserOp op, const std::string& id, const JobSpec* spec = nullptr,
+                const std::string& invalid = "") {
+    UserAsk ask;
+    ask.op = op;
+    ask.id = id;
+    ask.invalid = invalid;
+    if (spec != nullptr) ask.job = *spec;
+    UserReply out;
+    out.status = 0;
+    leader->User(ask, [&out](const UserReply& r) { out = r; });
+    Settle();
+    return out;
+  }
+  UserReply Submit(const JobSpec& spec) { return Ask(UserOp::kSubmit, spec.id, &spec); }
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/tests/leader_test.cc
@@ -0,0 +1,488 @@
+#include <gtest/gtest.h>
+
+#include "fakes.h"
+
+namespace deckhall {
+namespace {
+
+TEST(Leader, RunsAnArrayAndTellsItIsDone) {
+  World w;
+  w.Lead();
+  auto& m = w.Machine("m-1", "east");
+  EXPECT_EQ(w.Submit(w.Array("job-1", 2)).status, 201);
+  w.Pass(1);
+  EXPECT_EQ(m.started.size(), 2U);
+  m.End("job-1/0", ExitWhy::kDone);
+  m.End("job-1/1", ExitWhy::kDone);
+  w.Pass(2);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+}
+
+TEST(Leader, AcceptsOnlyWhatIsDurable) {
+  World w;
+  w.Lead();
+  w.state.refuse = true;
+  EXPECT_EQ(w.Submit(w.Array("job-1", 2)).status, 0);  // still waiting for the store
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").status, 503);
+  w.state.refuse = false;
+  w.Pass(1);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").status, 200);
+}
+
+TEST(Leader, AnUnansweredTransactionThatWasAppliedIsNotLost) {
+  World w;
+  w.Lead();
+  w.state.lose_answers = 1;
+  w.Submit(w.Array("job-1", 2));
+  w.Pass(2);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").status, 200);
+  EXPECT_FALSE(w.deposed);
+  w.Lead();
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").status, 200);
+}
+
+TEST(Leader, ATransactionAppliedLateDoesNotUndoALaterOne) {
+  World w;
+  w.Lead();
+  w.state.hold_commits = 1;
+  w.Submit(w.Array("job-1", 2));
+  w.Pass(1);  // written again, under the same version
+  EXPECT_EQ(w.Ask(UserOp::kCancel, "job-1").state, JobState::kCancelled);
+  w.state.Late();
+  w.Pass(1);
+  w.Lead();
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kCancelled);
+}
+
+TEST(Leader, AWriteThatMeetsAnotherTermEndsThisOne) {
+  World w;
+  w.Lead();
+  ++w.state.revision;
+  w.state.keys["leader"].version = w.state.revision;
+  EXPECT_NE(w.Submit(w.Array("job-1", 2)).status, 201);
+  w.Pass(1);
+  EXPECT_TRUE(w.deposed);
+}
+
+TEST(Leader, AWorkerThatSawAHigherTokenEndsTheTerm) {
+  World w;
+  w.Lead();
+  auto& m = w.Machine("m-1", "east");
+  m.report.token = (w.leader->term() + 1) << kTermShift;
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 421);
+  EXPECT_TRUE(w.deposed);
+}
+
+TEST(Leader, AKnownIdIsAnsweredBeforeItIsValidated) {
+  World w;
+  w.Lead();
+  auto& m = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(1);
+  m.End("job-1/0", ExitWhy::kDone);
+  w.Pass(1);
+  const UserReply again = w.Ask(UserOp::kSubmit, "job-1", nullptr, "missing or invalid: cores");
+  EXPECT_EQ(again.status, 200);
+  EXPECT_EQ(again.state, JobState::kDone);
+  EXPECT_EQ(w.Ask(UserOp::kSubmit, "job-2", nullptr, "missing or invalid: cores").status, 400);
+  // Also long after its end, when only the end is kept, and by another leader.
+  w.Pass(120);
+  EXPECT_EQ(w.Submit(w.Array("job-1", 1)).state, JobState::kDone);
+  w.Lead();
+  EXPECT_EQ(w.Submit(w.Array("job-1", 1)).state, JobState::kDone);
+}
+
+// Found on the first standard days: 'done' went back to 'pending' while the row
+// of the finished job was being rewritten.
+TEST(Leader, AnEndThatWasToldStaysToldWhileItsRowIsRewritten) {
+  World w;
+  w.Lead();
+  auto& m = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(1);
+  m.End("job-1/0", ExitWhy::kDone);
+  w.Pass(2);
+  ASSERT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+  w.state.refuse = true;  // nothing more becomes durable
+  for (int i = 0; i < 100; ++i) {
+    w.Pass(1);
+    ASSERT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+  }
+}
+
+TEST(Leader, WhatCanNeverRunIsRefused) {
+  World w;
+  w.Lead();
+  EXPECT_EQ(w.Submit(w.Array("job-1", 1, 9)).status, 422);   // no such machine
+  EXPECT_EQ(w.Submit(w.Service("job-2", 9)).status, 422);    // over the limit as a whole
+  EXPECT_EQ(w.Submit(w.Array("job-3", 9)).status, 201);      // one task at a time is fine
+  JobSpec spec = w.Array("job-4", 1);
+  spec.team = "green";
+  EXPECT_EQ(w.Submit(spec).status, 422);
+}
+
+TEST(Leader, NeitherAcceptsNorRefusesBeforeItKnowsTheMachineTypes) {
+  World w;
+  w.cloud.out = true;
+  w.Lead();
+  EXPECT_EQ(w.Submit(w.Array("job-1", 1, 900)).status, 503);
+}
+
+TEST(Leader, PastItsLeaseItLaunchesNothingButGoesOnAnsweringReports) {
+  World w;
+  w.Lead();
+  auto& m = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  ASSERT_EQ(m.started.size(), 1U);
+  w.Submit(w.Array("job-2", 3));
+  w.lease.until = w.clock.now - 0.1;
+  m.End("job-1/0", ExitWhy::kError);
+  const size_t before = m.started.size();
+  w.Pass(3);
+  EXPECT_EQ(m.started.size(), before);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").status, 503);
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 200);
+  w.clock.now += HoldSeconds(w.settings) + 1;
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
+}
+
+TEST(Takeover, AdoptsWhatRunsAndStartsNothingTwice) {
+  World w;
+  w.Lead();
+  auto& m = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 2));
+  w.Pass(1);
+  ASSERT_EQ(m.started.size(), 2U);
+  w.Lead();
+  w.Pass(5);
+  EXPECT_EQ(m.started.size(), 2U);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").running, 2U);
+}
+
+TEST(Takeover, ASilentMachineKeepsItsTasksFromStartingElsewhere) {
+  World w;
+  w.tuning.takeover_wait_s = 1000;  // never returned: the lease alone decides
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  ASSERT_TRUE(a.Has("job-1/0"));
+  a.silent = true;
+  w.cloud.out = true;
+  w.Lead();
+  w.cloud.out = false;
+  auto& b = w.Machine("m-2", "east");
+  // What the former leader may have answered until the end of its hold lives on
+  // for a lease.
+  w.Pass(HoldSeconds(w.settings) + w.settings.lease_s - 2);
+  EXPECT_FALSE(b.Has("job-1/0"));
+  // New jobs don't wait for this.
+  w.Submit(w.Service("job-2", 1));
+  w.Pass(1);
+  EXPECT_TRUE(b.Has("job-2/0"));
+  w.Pass(5);
+  EXPECT_TRUE(b.Has("job-1/0"));
+}
+
+TEST(Takeover, ReturningASilentMachineFreesItsTasksSooner) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  a.silent = true;
+  w.Lead();
+  auto& b = w.Machine("m-2", "east");
+  w.Pass(w.tuning.takeover_wait_s + 4);
+  EXPECT_NE(std::find(w.cloud.returned.begin(), w.cloud.returned.end(), "m-1"),
+            w.cloud.returned.end());
+  EXPECT_TRUE(b.Has("job-1/0"));
+}
+
+TEST(Takeover, TasksThatMayBeOnASilentMachineCountForTheLimit) {
+  World w;
+  w.tuning.takeover_wait_s = 1000;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 4));  // 8 of 16 cores
+  w.Pass(1);
+  ASSERT_EQ(a.started.size(), 4U);
+  a.silent = true;
+  w.Lead();
+  auto& b = w.Machine("m-2", "east");
+  auto& c = w.Machine("m-3", "west");
+  w.Submit(w.Array("job-2", 8));  // all 16
+  w.Pass(5);
+  EXPECT_EQ(b.started.size() + c.started.size(), 4U);
+}
+
+TEST(Takeover, AFormerLeadersLateCommandIsShutOut) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  a.hold = 1;
+  w.Submit(w.Service("job-1", 1));
+  w.clock.now += 0.1;
+  w.Settle();
+  ASSERT_TRUE(a.started.empty());
+  w.Lead();
+  w.Pass(2);
+  const size_t started = a.started.size();
+  EXPECT_EQ(started, 1U);
+  a.Late();
+  EXPECT_EQ(a.started.size(), started);
+}
+
+TEST(Commands, ALateLaunchAfterTheTaskWasClearedDoesNotRunIt) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  a.hold = 1;
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(3);
+  ASSERT_EQ(a.started.size(), 1U);  // launched again
+  a.End("job-1/0", ExitWhy::kDone);
+  w.Pass(3);
+  ASSERT_TRUE(a.report.tasks.empty());  // cleared
+  a.Late();
+  EXPECT_EQ(a.started.size(), 1U);
+}
+
+TEST(Commands, CancelShutsOutALaunchOnItsWay) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  a.hold = 1;
+  w.Submit(w.Array("job-1", 1));
+  w.clock.now += 0.1;
+  w.Settle();
+  EXPECT_EQ(w.Ask(UserOp::kCancel, "job-1").state, JobState::kCancelled);
+  w.Pass(3);
+  a.Late();
+  EXPECT_TRUE(a.started.empty());
+  EXPECT_FALSE(a.Has("job-1/0"));
+}
+
+TEST(Commands, CancelStopsWhatRuns) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 3));
+  w.Pass(1);
+  ASSERT_TRUE(a.Has("job-1/2"));
+  w.Ask(UserOp::kCancel, "job-1");
+  w.Pass(1);
+  EXPECT_FALSE(a.Has("job-1/0"));
+  EXPECT_FALSE(a.Has("job-1/2"));
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kCancelled);
+}
+
+TEST(Commands, AFinishedTaskIsDurableBeforeItIsCleared) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 2));
+  w.Pass(1);
+  w.state.refuse = true;
+  a.End("job-1/0", ExitWhy::kDone);
+  w.Pass(3);
+  EXPECT_EQ(a.report.tasks.size(), 2U);
+  w.state.refuse = false;
+  w.Pass(3);
+  EXPECT_EQ(a.report.tasks.size(), 1U);
+  w.Lead();
+  w.Pass(3);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").done, 1U);
+  EXPECT_EQ(a.started.size(), 2U);
+}
+
+TEST(Fleet, ANewSessionMeansTheOldTasksAreGone) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  ASSERT_EQ(a.started.size(), 1U);
+  a.report.session = 2;
+  a.report.tasks.clear();
+  w.Pass(2);
+  EXPECT_EQ(a.started.size(), 2U);
+}
+
+TEST(Fleet, ALateReportDoesNotTurnThePictureBack) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  const Report early = a.report;
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  w.leader->OnReport(early);
+  w.Settle();
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").running, 1U);
+  EXPECT_EQ(a.started.size(), 1U);
+}
+
+TEST(Fleet, ASilentMachineIsReturnedAndItsReplicasComeBack) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "west");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  FakeWorker& has = a.Has("job-1/0") ? a : b;
+  FakeWorker& other = &has == &a ? b : a;
+  has.silent = true;
+  w.Pass(w.tuning.lost_s - 1);
+  EXPECT_FALSE(other.Has("job-1/0"));
+  w.Pass(4);
+  EXPECT_TRUE(other.Has("job-1/0"));
+}
+
+TEST(Fleet, ASpotMachineUnderNoticeGetsNothingNew) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east", true);
+  a.report.notice_s = 20;
+  w.Pass(1);
+  JobSpec spec = w.Array("job-1", 1);
+  spec.spot = true;
+  w.Submit(spec);
+  w.Pass(2);
+  EXPECT_TRUE(a.started.empty());
+}
+
+TEST(Fleet, AMachineThatFailsTasksIsLeftAloneAndABadJobDoesNotCondemnMachines) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "west");
+  w.Submit(w.Array("job-1", 1, 1));
+  for (int i = 0; i < 12; ++i) {
+    w.Pass(2);
+    a.End("job-1/0", ExitWhy::kError);
+    b.End("job-1/0", ExitWhy::kError);
+  }
+  w.Submit(w.Array("job-2", 2, 1));
+  w.Pass(2);
+  EXPECT_EQ(std::count_if(a.started.begin(), a.started.end(),
+                          [](const std::string& s) { return s.starts_with("job-2"); }) +
+                std::count_if(b.started.begin(), b.started.end(),
+                              [](const std::string& s) { return s.starts_with("job-2"); }),
+            2);
+}
+
+TEST(Placer, KeepsTheTeamsLimit) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "west");
+  auto& c = w.Machine("m-3", "west");
+  w.Submit(w.Array("job-1", 12));  // 24 cores, 16 allowed
+  w.Pass(3);
+  EXPECT_EQ(a.started.size() + b.started.size() + c.started.size(), 8U);
+}
+
+TEST(Placer, KeepsTasksApartAndTogether) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "west");
+  JobSpec apart = w.Service("job-1", 3);
+  apart.apart = true;
+  w.Submit(apart);
+  w.Pass(1);
+  EXPECT_EQ(a.started.size() + b.started.size(), 3U);
+  EXPECT_LE(std::max(a.started.size(), b.started.size()), 2U);
+  JobSpec one = w.Service("job-2", 3, 1);
+  one.one_zone = true;
+  w.Submit(one);
+  w.Pass(1);
+  const auto on_a = std::count_if(a.started.begin(), a.started.end(), [](const std::string& s) {
+    return s.starts_with("job-2");
+  });
+  EXPECT_TRUE(on_a == 0 || on_a == 3);
+}
+
+TEST(Placer, SpotMachinesTakeOnlyJobsThatAllowThem) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east", true);
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(2);
+  EXPECT_TRUE(a.started.empty());
+}
+
+TEST(Placer, AServiceStopsAnArrayForRoomAndAnArrayNeverAService) {
+  World w;
+  w.settings.teams = {{"blue", 0, 0, 0, 0}};
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 4));
+  w.Pass(1);
+  ASSERT_EQ(a.started.size(), 4U);
+  w.Submit(w.Service("job-2", 1));
+  w.Pass(2);
+  EXPECT_TRUE(a.Has("job-2/0"));
+  JobSpec urgent = w.Array("job-3", 4);
+  urgent.priority = Priority::kUrgent;
+  w.Submit(urgent);
+  w.Pass(2);
+  EXPECT_TRUE(a.Has("job-2/0"));
+}
+
+TEST(Placer, AGangStartsAsAWholeUnderOneAttempt) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  JobSpec gang = w.Array("job-1", 6);
+  gang.gang = true;
+  w.Submit(gang);
+  w.Pass(2);
+  EXPECT_TRUE(a.started.empty());  // 12 cores, 8 there
+  auto& b = w.Machine("m-2", "east");
+  w.Pass(2);
+  EXPECT_EQ(a.started.size() + b.started.size(), 6U);
+  std::vector<uint64_t> attempts;
+  for (auto* m : {&a, &b}) {
+    for (const auto& t : m->report.tasks) attempts.push_back(t.attempt);
+  }
+  EXPECT_EQ(std::count(attempts.begin(), attempts.end(), attempts[0]), 6);
+}
+
+TEST(Rentals, AnUnansweredRentalIsAskedForAgainByNameAlsoByTheNextLeader) {
+  World w;
+  w.cloud.types[0].boot_s = 1;
+  w.Lead();
+  w.cloud.out = true;
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(3);
+  ASSERT_FALSE(w.cloud.rented.empty());
+  const std::string name = w.cloud.rented[0].first;
+  w.Lead();
+  w.Pass(1);
+  EXPECT_EQ(w.cloud.rented.back().first, name);
+  for (const auto& [request, count] : w.cloud.rented) EXPECT_EQ(request, name);
+}
+
+TEST(Rentals, AMachinesNameIsDurableBeforeItsFirstLaunch) {
+  World w;
+  w.Lead();
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  w.state.refuse = true;
+  auto& a = w.Machine("m-1", "east");
+  w.Pass(2);
+  EXPECT_TRUE(a.started.empty());
+  w.state.refuse = false;
+  w.Pass(2);
+  EXPECT_EQ(a.started.size(), 1U);
+}
+
+}  // namespace
+}  // namespace deckhall
