--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -398,11 +398,11 @@
     ask.id = id;
     ask.invalid = invalid;
     if (spec != nullptr) ask.job = *spec;
-    UserReply out;
-    out.status = 0;
-    leader->User(ask, [&out](const UserReply& r) { out = r; });
+    auto out = std::make_shared<UserReply>();
+    out->status = 0;
+    leader->User(ask, [out](const UserReply& r) { *out = r; });
     Settle();
-    return out;
+    return *out;
   }
   UserReply Submit(const JobSpec& spec) { return Ask(UserOp::kSubmit, spec.id, &spec); }
 };
