--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -8,8 +8,8 @@
 
 struct Tuning {
   // leader
-  double lease_ms = 2500;
-  double renew_ms = 500;
+  double lease_ms = 1500;
+  double renew_ms = 300;
   // rank
   double refresh_s = 5;
   double save_s = 5;
