--- a/src/app/tuning.cc
+++ b/src/app/tuning.cc
@@ -62,6 +62,8 @@
        "an idle ordinary machine is kept so long"},
       {"capacity", "drain-s", &Tuning::drain_s, 1, 3600,
        "machines are rented so that waiting arrays are worked off in this time"},
+      {"capacity", "patient-s", &Tuning::patient_s, 0, 3600,
+       "services that waited so long may go where their image is missing"},
       {"capacity", "headroom-machines", &Tuning::headroom_machines, 0, 100,
        "room kept for replicas, in machines lost"},
       {"capacity", "headroom-boots", &Tuning::headroom_boots, 0, 100,
--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -26,6 +26,7 @@
   double idle_spot_s = 20;
   double idle_ordinary_s = 40;
   double drain_s = 25;
+  double patient_s = 8;
   double headroom_machines = 1;
   double headroom_boots = 1.5;
   double late_boot = 1.8;
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -276,6 +276,9 @@
   n.zone = job.zone;
   n.spot_ok = job.spec.spot;
   n.service = job.spec.service;
+  // A replica that never ran and has waited for long, as at a cold start.
+  n.patient = n.service && job.placed == 0 &&
+              clock_->Now() - job.waiting_since > tuning_->patient_s;
   n.image = job.image;
   n.image_gb = job.spec.image_gb;
   n.avoid = job.failed_on.empty() ? nullptr : &job.failed_on;
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -38,8 +38,14 @@
     if (!n.usable || !Allows(need, n.type, n.zone, n.spot) || !Fits(need, n)) continue;
     // Seconds until it runs weigh most; then what the choice costs others.
     double cost = 0;
-    if (!Has(n.images, need.image)) {
-      cost += need.image_gb / std::max(n.fetch_gb_per_s, 1e-3);
+    const bool cached = Has(n.images, need.image);
+    const double fetch_s = need.image_gb / std::max(n.fetch_gb_per_s, 1e-3);
+    if (need.patient) {
+      // Its start is late anyway. A machine that gets the image now can start
+      // later replicas at once.
+      cost += cached ? fetch_s : 0;
+    } else {
+      cost += cached ? 0 : fetch_s;
     }
     if (Has(need.avoid, n.machine)) cost += 1000;
     if (need.service) {
@@ -51,8 +57,10 @@
     } else if (need.spot_ok && !n.spot) {
       cost += 4.0;  // ordinary machines are kept for those that need them
     }
-    // Tight fits leave whole machines free.
-    cost += 0.5 * (n.cores - need.cores) / std::max(n.total_cores, 1.0);
+    const double after = (n.cores - need.cores) / std::max(n.total_cores, 1.0);
+    // Services spread: each machine then holds many images and a little room, and
+    // its loss costs little. Arrays pack, which leaves whole machines free.
+    cost += need.service ? -0.5 * after : 0.5 * after;
     if (best < 0 || cost < best_cost) {
       best = static_cast<int>(i);
       best_cost = cost;
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -29,6 +29,7 @@
   uint32_t zone = UINT32_MAX;                // the only allowed one
   bool spot_ok = false;
   bool service = false;
+  bool patient = false;                      // late already: may seed caches
   uint32_t image = UINT32_MAX;
   double image_gb = 0;
   const std::vector<uint32_t>* avoid = nullptr;  // machines it failed on
