--- a/src/app/tuning.cc
+++ b/src/app/tuning.cc
@@ -64,6 +64,8 @@
        "machines are rented so that waiting arrays are worked off in this time"},
       {"capacity", "patient-s", &Tuning::patient_s, 0, 3600,
        "services that waited so long may go where their image is missing"},
+      {"capacity", "headroom-free", &Tuning::headroom_free, 0, 1,
+       "part of the room for replicas that arrays may not borrow"},
       {"capacity", "headroom-machines", &Tuning::headroom_machines, 0, 100,
        "room kept for replicas, in machines lost"},
       {"capacity", "headroom-boots", &Tuning::headroom_boots, 0, 100,
--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -27,6 +27,7 @@
   double idle_ordinary_s = 40;
   double drain_s = 25;
   double patient_s = 8;
+  double headroom_free = 0.3;
   double headroom_machines = 1;
   double headroom_boots = 1.5;
   double late_boot = 1.8;
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -322,7 +322,7 @@
     int at = -1;
     if (hold_back) {
       // Ordinary room that replicas may need soon is not given to arrays.
-      double spare = -headroom_;
+      double spare = -headroom_ * tuning_->headroom_free;
       for (const Node& n : nodes_) spare += n.spot ? 0 : std::max(0.0, n.cores);
       if (spare + kEps < job.spec.cores) {
         Need spot_only = need;
@@ -551,6 +551,20 @@
   return most * tuning_->headroom_machines + rate * boot * tuning_->headroom_boots;
 }
 
+double Placer::Preemptible() const {
+  double sum = 0;
+  for (MachIdx mi = 0; mi < fleet_->size(); ++mi) {
+    const Machine& m = (*fleet_)[mi];
+    if (m.spot || !Usable(m)) continue;
+    for (const Slot& s : m.slots) {
+      if (s.gone || s.job == kNone) continue;
+      const JobSpec& spec = (*book_)[s.job].spec;
+      if (!spec.service && !spec.gang && spec.priority < Priority::kProduction) sum += s.cores;
+    }
+  }
+  return sum;
+}
+
 void Placer::Plan() {
   if (!rentals_->types_known()) return;
   WantedMachines();
@@ -652,12 +666,16 @@
   }
   double unit_cores = 0;
   double unit_memory = 0;
+  double lent = 0;  // kept room that arrays may use meanwhile
   headroom_ = ServiceHeadroom(&unit_cores, &unit_memory);
   if (unit_cores > 0) {
     Want w;
     w.need.cores = unit_cores;
     w.need.memory_gb = unit_memory;
-    w.count = static_cast<uint32_t>(std::ceil(headroom_ / unit_cores));
+    // Arrays on ordinary machines give way: their room counts as kept.
+    const double open = std::max(0.0, headroom_ - Preemptible());
+    w.count = static_cast<uint32_t>(std::ceil(open / unit_cores));
+    lent = std::max(0.0, open - headroom_ * tuning_->headroom_free);
     wants.push_back(w);
   }
   // Arrays: enough to work off what waits in the time the operator set.
@@ -682,7 +700,7 @@
     const auto n = static_cast<uint32_t>(job.waiting.size());
     if (within_limit(job, n) == n) want(j, n);
   }
-  double left = std::min(waiting, backlog / tuning_->drain_s);
+  double left = std::min(waiting, backlog / tuning_->drain_s) - lent;
   for (JobIdx j : ranked_) {
     const Job& job = (*book_)[j];
     if (left <= 0) break;
@@ -723,6 +741,7 @@
     const Machine& m = (*fleet_)[mi];
     if (m.up && !m.spot && Usable(m)) free_ordinary += NodeOf(mi).cores;
   }
+  free_ordinary += Preemptible();
   for (MachIdx mi = 0; mi < fleet_->size(); ++mi) {
     Machine& m = (*fleet_)[mi];
     if (m.gone || m.returning) continue;
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -65,6 +65,8 @@
   void Put(JobIdx j, uint32_t task, Node* node, uint64_t attempt);
   Node NodeOf(MachIdx m) const;
   double ServiceHeadroom(double* unit_cores, double* unit_memory) const;
+  // Cores of ordinary machines that services may claim from arrays.
+  double Preemptible() const;
   void ReturnIdle(double headroom);
   void WantedMachines();
 
