--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -105,6 +105,9 @@
   ports.workers = &workers_;
   ports.clock = &clock_;
   ports.lease = this;
+  ports.doubtful = [this](const std::string& zone) {
+    return zone != settings_.site && mesh_.Doubtful(zone);
+  };
   leader_ = std::make_unique<Leader>(ports, &settings_, &tuning_, Election::kKey, term);
   leader_->on_deposed = [this](const char* why) { election_.Abdicate(why); };
   leader_->Begin();
--- a/src/app/tuning.cc
+++ b/src/app/tuning.cc
@@ -53,6 +53,8 @@
       {"fleet", "silent-s", &Tuning::silent_s, 1, 600, "a machine silent for so long is probed"},
       {"fleet", "lost-s", &Tuning::lost_s, 1, 600,
        "a machine silent for so long, and to probes, is returned"},
+      {"fleet", "lost-behind-cut-s", &Tuning::lost_behind_cut_s, 1, 600,
+       "the same, for machines of a zone to which the way was blocked of late"},
       {"fleet", "takeover-wait-s", &Tuning::takeover_wait_s, 1, 600,
        "a new leader waits so long for a machine's first sign"},
       {"capacity", "plan-s", &Tuning::plan_s, 0.2, 60, "time between plans"},
--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -20,6 +20,7 @@
   // fleet
   double silent_s = 5;
   double lost_s = 6.5;
+  double lost_behind_cut_s = 14;
   double takeover_wait_s = 6;
   // capacity
   double plan_s = 1;
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -452,7 +452,12 @@
     fleet_.Account(mi);
   }
   if (silent < tuning_->silent_s) return;
-  const double limit = waited_for ? tuning_->takeover_wait_s : tuning_->lost_s;
+  double limit = waited_for ? tuning_->takeover_wait_s : tuning_->lost_s;
+  // Behind a cut its worker first has to find another node, and probes from here
+  // say nothing: returning it would kill what runs well.
+  if (m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone])) {
+    limit = std::max(limit, tuning_->lost_behind_cut_s);
+  }
   if (silent > limit && m.probe_fails >= 2) {
     // Returning it ends whatever it still holds: sooner than its lease would.
     rentals_.Return(mi, "silent");
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -27,6 +27,8 @@
   WorkerPort* workers = nullptr;
   const Clock* clock = nullptr;
   const LeaseView* lease = nullptr;
+  // Whether the way to a zone was blocked of late; may be empty.
+  std::function<bool(const std::string& zone)> doubtful;
 };
 
 class Leader {
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -9,6 +9,7 @@
 
 constexpr double kPingEvery = 0.3;
 constexpr double kFresh = 1.0;   // a peer heard within this is there
+constexpr double kDoubt = 10;
 constexpr double kRedial = 0.5;
 constexpr double kStuck = 1.5;   // a link silent for this long is dialled anew
 constexpr size_t kMaxInbound = 64;
@@ -86,6 +87,13 @@
   return false;
 }
 
+bool Mesh::Doubtful(const std::string& site) const {
+  for (const auto& link : links_) {
+    if (link->peer.site == site && clock_->Now() - link->missed < kDoubt) return true;
+  }
+  return false;
+}
+
 double Mesh::Silence() const {
   double best = 1e9;
   for (const auto& link : links_) best = std::min(best, clock_->Now() - link->heard);
@@ -125,6 +133,7 @@
 void Mesh::Tick() {
   const double now = clock_->Now();
   for (auto& link : links_) {
+    if (!Hears(link->peer.label)) link->missed = now;
     if (link->tcp && now - std::max(link->heard, link->connected_at) > kStuck) Hangup(link.get());
     if (!link->tcp && now - link->tried > kRedial) Dial(link.get());
     if (link->tcp && link->tcp->connected()) {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -40,6 +40,9 @@
   void Ask(const std::string& label, Body body, double timeout_s, Reply done);
   // True when the peer was heard lately.
   bool Hears(const std::string& label) const;
+  // True when a peer of that site was not heard at some time of late: it is down,
+  // or cut off from here, and its zone's workers may need time to find a way.
+  bool Doubtful(const std::string& site) const;
   // Time since any peer was heard.
   double Silence() const;
 
@@ -51,6 +54,7 @@
     std::unique_ptr<TcpConn> tcp;
     std::string in;
     double heard = -1e9;
+    double missed = -1e9;  // last time it was not heard
     double tried = -1e9;
     double connected_at = 0;
     MeshPing last;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -295,6 +295,7 @@
   std::unique_ptr<Leader> leader;
   std::vector<std::unique_ptr<Leader>> former;
   bool deposed = false;
+  std::string lead_doubtful;  // zone to which the way is blocked
 
   World() {
     lease.clock = &clock;
@@ -322,9 +323,9 @@
     ++state.revision;
     state.keys["leader"] = {"{}", state.revision, 0};
     lease.until = 1e12;
-    leader = std::make_unique<Leader>(
-        LeaderPorts{&state, &cloud, &workers, &clock, &lease}, &settings, &tuning, "leader",
-        state.revision);
+    LeaderPorts ports{&state, &cloud, &workers, &clock, &lease, nullptr};
+    ports.doubtful = [this](const std::string& zone) { return zone == lead_doubtful; };
+    leader = std::make_unique<Leader>(ports, &settings, &tuning, "leader", state.revision);
     leader->on_deposed = [this](const char*) { deposed = true; };
     leader->Begin();
     Settle();
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -342,6 +342,26 @@
   EXPECT_TRUE(other.Has("job-1/0"));
 }
 
+// Found on rough days: machines behind a cut between zones were returned while
+// their workers were still looking for a node that answers.
+TEST(Fleet, ASilentMachineBehindACutIsGivenTimeToFindAWay) {
+  World w;
+  w.lead_doubtful = "east";
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  a.silent = true;
+  w.Pass(w.tuning.lost_s + 4);
+  a.silent = false;
+  w.Pass(2);
+  EXPECT_TRUE(w.cloud.returned.empty());
+  EXPECT_TRUE(a.Has("job-1/0"));
+  a.silent = true;
+  w.Pass(w.tuning.lost_behind_cut_s + 4);
+  EXPECT_FALSE(w.cloud.returned.empty());
+}
+
 TEST(Fleet, ASpotMachineUnderNoticeGetsNothingNew) {
   World w;
   w.Lead();
