--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -17,8 +17,11 @@
   double weight_normal = 2;
   double weight_urgent = 4;
   double weight_production = 8;
+  double delay_fetches = 1;
   // fleet
   double silent_s = 5;
+  double probe_s = 1;
+  double quick_lost_s = 2.2;
   double lost_s = 6.5;
   double lost_behind_cut_s = 14;
   double takeover_wait_s = 6;
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -10,7 +10,9 @@
 
 constexpr double kPageFill = 0.85;
 constexpr double kDoTimeout = 1.5;
-constexpr double kProbeTimeout = 1.0;
+constexpr double kProbeTimeout = 0.7;
+// With more machines silent at once, the trouble is rather on the way or here.
+constexpr int kFewSilent = 2;
 constexpr size_t kMaxWaiters = 5000;
 constexpr size_t kMaxLiveTasks = 400000;
 constexpr size_t kMaxLiveJobs = 20000;
@@ -451,8 +453,11 @@
     spdlog::info("machine {}: its lease under the former leader surely ran out", m.name);
     fleet_.Account(mi);
   }
-  if (silent < tuning_->silent_s) return;
-  double limit = waited_for ? tuning_->takeover_wait_s : tuning_->lost_s;
+  const bool busy = std::any_of(m.slots.begin(), m.slots.end(), [](const Slot& s) { return !s.gone; });
+  if (silent < (busy ? tuning_->probe_s : tuning_->silent_s)) return;
+  double limit = waited_for                      ? tuning_->takeover_wait_s
+                 : silent_machines_ > kFewSilent ? tuning_->lost_s
+                                                 : tuning_->quick_lost_s;
   // Behind a cut its worker first has to find another node, and probes from here
   // say nothing: returning it would kill what runs well.
   if (m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone])) {
@@ -548,6 +553,10 @@
   }
   if (now >= next_watch_) {
     next_watch_ = now + 0.25;
+    silent_machines_ = 0;
+    for (MachIdx m = 0; m < fleet_.size(); ++m) {
+      if (!fleet_[m].gone && !fleet_[m].returning && fleet_[m].probe_fails > 0) ++silent_machines_;
+    }
     for (MachIdx m = 0; m < fleet_.size(); ++m) {
       Watch(m);
       Notice(m);
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -98,6 +98,7 @@
   double next_plan_ = 0;
   double next_save_ = 0;
   double next_watch_ = 0;
+  int silent_machines_ = 0;
   std::vector<Waiter> waiters_;
 };
 
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -187,6 +187,10 @@
     n.fetch_gb_per_s = type->fetch_gb_per_s;
     n.usable = Usable(m);
   }
+  for (const Slot& s : m.slots) {
+    if (s.gone || !s.keep || s.job == kNone || (s.seen && s.state != TaskState::kFetching)) continue;
+    n.coming.push_back((*book_)[s.job].image);
+  }
   return n;
 }
 
@@ -287,6 +291,16 @@
   return n;
 }
 
+// The paper's delay scheduling: while jobs compete, one that would first have to
+// fetch its image lets the room pass, for as long as the fetch would take.
+double Placer::Patience(const Job& job) const {
+  double rate = 0;
+  for (const MachineType& t : rentals_->types()) {
+    rate = rate == 0 ? t.fetch_gb_per_s : std::min(rate, t.fetch_gb_per_s);
+  }
+  return rate > 0 ? tuning_->delay_fetches * job.spec.image_gb / rate : 0;
+}
+
 void Placer::Put(JobIdx j, uint32_t task, Node* node, uint64_t attempt) {
   Job& job = (*book_)[j];
   fleet_->Place(node->machine, j, task, attempt);
@@ -295,6 +309,7 @@
   node->cores -= job.spec.cores;
   node->gpus -= job.spec.gpus;
   node->memory_gb -= job.spec.memory_gb;
+  node->coming.push_back(job.image);
   (*fleet_)[node->machine].idle_since = -1;
 }
 
@@ -318,7 +333,9 @@
   const int most = job.fail_streak >= 3 ? (job.placed > 0 ? 0 : 1) : INT32_MAX;
   while (!job.waiting.empty() && placed < most) {
     if (!TeamRoom(job) || !ZoneRoom(job, &zones, on)) break;
-    const Need need = NeedOf(j, &types, &zones, &on);
+    Need need = NeedOf(j, &types, &zones, &on);
+    need.cached_only = contended_ && !job.spec.service && !job.guaranteed &&
+                       now - job.waiting_since < Patience(job);
     int at = -1;
     if (hold_back) {
       // Ordinary room that replicas may need soon is not given to arrays.
@@ -510,6 +527,16 @@
     if (!job.waiting.empty() && now >= job.backoff_until) Preempt(j);
   }
   // Then the best-ranked array with a task that fits.
+  double free = 0;
+  double waiting = 0;
+  for (const Node& n : nodes_) free += std::max(0.0, n.cores);
+  for (JobIdx j : ranked_) {
+    const Job& job = (*book_)[j];
+    if (job.life == JobLife::kLive) {
+      waiting += job.spec.cores * static_cast<double>(job.waiting.size());
+    }
+  }
+  contended_ = waiting > free;
   int starved = 0;
   for (JobIdx j : ranked_) {
     Job& job = (*book_)[j];
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -59,6 +59,7 @@
               std::vector<uint32_t>* siblings) const;
   bool ZoneRoom(const Job& job, std::vector<char>* zones, const std::vector<uint32_t>& on) const;
   int PlaceSome(JobIdx j, bool hold_back);
+  double Patience(const Job& job) const;
   void PlaceGang(JobIdx j);
   void HoldFor(const Need& need, uint32_t tasks);
   void Preempt(JobIdx j);
@@ -88,6 +89,7 @@
   double service_rate_ = 0;           // cores of services arriving per second
   double rate_at_ = -1;
   double headroom_ = 0;
+  bool contended_ = false;  // more tasks wait than there is room
 };
 
 }  // namespace deckhall
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -51,6 +51,9 @@
 IoWatch::IoWatch(Loop* loop, int fd, std::function<void(bool, bool)> fn)
     : loop_(loop), fd_(fd), fn_(std::move(fn)) {
   ev_init(&watcher_, &IoWatch::Fired);
+  // Data that has come counts before a deadline that passes in the same turn: after
+  // a stall of our own, answers would otherwise seem to be missing.
+  ev_set_priority(&watcher_, EV_MAXPRI);
   watcher_.data = this;
 }
 
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -39,7 +39,11 @@
     // Seconds until it runs weigh most; then what the choice costs others.
     double cost = 0;
     const bool cached = Has(n.images, need.image);
-    const double fetch_s = need.image_gb / std::max(n.fetch_gb_per_s, 1e-3);
+    // One fetch serves all tasks there that need the image.
+    const bool coming = !cached && Has(&n.coming, need.image);
+    if (need.cached_only && !cached && !coming) continue;
+    const double fetch_s =
+        need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming ? 0.5 : 1.0);
     if (need.patient) {
       // Its start is late anyway. A machine that gets the image now can start
       // later replicas at once.
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -18,7 +18,8 @@
   double total_cores = 0;
   double fetch_gb_per_s = 1;
   double price_per_core = 0;
-  const std::vector<uint32_t>* images = nullptr;
+  const std::vector<uint32_t>* images = nullptr;  // cached
+  std::vector<uint32_t> coming;                   // being fetched
 };
 
 struct Need {
@@ -30,6 +31,7 @@
   bool spot_ok = false;
   bool service = false;
   bool patient = false;                      // late already: may seed caches
+  bool cached_only = false;                  // waits for a machine with its image
   uint32_t image = UINT32_MAX;
   double image_gb = 0;
   const std::vector<uint32_t>* avoid = nullptr;  // machines it failed on
