--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -801,8 +801,8 @@
     }
     const double idle = now - m.idle_since;
     if (m.spot) {
-      if (idle > tuning_->idle_spot_s && waiting <= 0) rentals_->Return(mi, "idle");
-    } else if (idle > tuning_->idle_ordinary_s && !services_wait &&
+      if (idle > tuning_->idle_spot_boots * boot && waiting <= 0) rentals_->Return(mi, "idle");
+    } else if (idle > tuning_->idle_ordinary_boots * boot && !services_wait &&
                free_ordinary - type->cores >= headroom) {
       free_ordinary -= type->cores;
       rentals_->Return(mi, "idle");
