--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -27,8 +27,8 @@
   double takeover_wait_s = 6;
   // capacity
   double plan_s = 1;
-  double idle_spot_boots = 0.3;
-  double idle_ordinary_boots = 0.4;
+  double idle_spot_boots = 0.1;
+  double idle_ordinary_boots = 0.15;
   double drain_s = 25;
   double patient_s = 8;
   double headroom_free = 0.3;
