--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -304,6 +304,8 @@
     settings.teams = {{"blue", 8, 16, 0, 0}, {"red", 0, 0, 0, 0}};
     settings.lease_s = 20;
     settings.cancel_s = 40;
+    // Idle machines stay, unless a test is about that.
+    tuning.idle_spot_boots = tuning.idle_ordinary_boots = 1000;
     MachineType t;
     t.name = "box";
     t.cores = 8;
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -490,6 +490,21 @@
   for (const auto& [request, count] : w.cloud.rented) EXPECT_EQ(request, name);
 }
 
+TEST(Rentals, AnIdleMachineGoesBackUnlessReplicasMayNeedIt) {
+  World w;
+  w.tuning.idle_ordinary_boots = 0.1;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "west");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(10);
+  // One machine is enough; the room to come back is on it.
+  EXPECT_EQ(w.cloud.returned.size(), 1U);
+  EXPECT_TRUE(a.Has("job-1/0") || b.Has("job-1/0"));
+  EXPECT_NE(w.cloud.returned[0], a.Has("job-1/0") ? "m-1" : "m-2");
+}
+
 TEST(Rentals, AMachinesNameIsDurableBeforeItsFirstLaunch) {
   World w;
   w.Lead();
