Reports go to the leader in its hold; the hold lasts while all peers are quiet

Now the hold counts from when every other node last said, in answer to a ping, that it knows of no later term.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -87,7 +87,8 @@
 void Controller::Tick() {
   const double now = clock_.Now();
   election_.Tick();
-  mesh_.SetLeading(leader_ && leader_->loaded() && election_.Trusted(), election_.term());
+  const bool holding = leader_ && leader_->loaded();
+  mesh_.SetLeading(holding && election_.Trusted(), holding, election_.term());
   if (leader_) leader_->Tick();
   std::erase_if(retired_, [now](const Retired& r) { return now - r.since > kRetiredFor; });
   if (!mesh_.Leader().empty()) leader_heard_ = now;
@@ -99,12 +100,14 @@
 }
 
 void Controller::Won(uint64_t term) {
+  mesh_.NoteTerm(term);
   LeaderPorts ports;
   ports.state = &state_;
   ports.cloud = &cloud_;
   ports.workers = &workers_;
   ports.clock = &clock_;
   ports.lease = this;
+  ports.quiet_since = [this](uint64_t t) { return mesh_.QuietSince(t); };
   ports.doubtful = [this](const std::string& zone) {
     return zone != settings_.site && mesh_.Doubtful(zone);
   };
@@ -114,7 +117,7 @@
 }
 
 void Controller::Lost() {
-  mesh_.SetLeading(false, 0);
+  mesh_.SetLeading(false, false, 0);
   if (!leader_) return;
   leader_->Retire();
   retired_.push_back({clock_.Now(), std::move(leader_)});
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -113,8 +113,12 @@
 }
 
 double Leader::HoldUntil() const {
-  // Counted from when the last good renewal was sent.
-  return ports_.lease->TrustedUntil() - tuning_->lease_ms / 1000.0 + HoldSeconds(*settings_);
+  // Counted from when the last good renewal was sent, or from when all others
+  // last said that they know of no later term: in an outage of the state service
+  // that reaches everybody, nobody can follow us, and tasks stay up.
+  double since = ports_.lease->TrustedUntil() - tuning_->lease_ms / 1000.0;
+  if (ports_.quiet_since) since = std::max(since, ports_.quiet_since(term_));
+  return since + HoldSeconds(*settings_);
 }
 
 UserReply Leader::State(JobIdx j, int status) const {
@@ -314,8 +318,9 @@
     rentals_.SaveMachine(mi, true);
   }
   reply.status = 200;
-  if (fresh && trusted && !m.do_busy && !m.returning) {
-    reply.commands = fleet_.Commands(mi, true);
+  if (fresh && !m.do_busy && !m.returning) {
+    // Stops and clears need no lease; launches do.
+    reply.commands = fleet_.Commands(mi, trusted);
   }
   reply.token = m.token;
   m.answered_at = now;
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -29,6 +29,8 @@
   const LeaseView* lease = nullptr;
   // Whether the way to a zone was blocked of late; may be empty.
   std::function<bool(const std::string& zone)> doubtful;
+  // A time at which surely no later term had begun; may be empty.
+  std::function<double(uint64_t term)> quiet_since;
 };
 
 class Leader {
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -41,19 +41,21 @@
   ping.label = label_;
   ping.instance = instance_;
   ping.leading = leading_;
-  ping.term = leading_ ? term_ : highest_term_;
-  ping.leader = leading_ ? label_ : FreshLeader();
+  ping.holding = holding_;
+  ping.term = holding_ ? term_ : highest_term_;
+  ping.leader = holding_ ? label_ : FreshLeader();
   for (const auto& link : links_) {
     if (Hears(link->peer.label)) ping.reaches.push_back(link->peer.label);
   }
   return ping;
 }
 
-void Mesh::SetLeading(bool leading, uint64_t term) {
-  const bool changed = leading != leading_;
+void Mesh::SetLeading(bool leading, bool holding, uint64_t term) {
+  const bool changed = leading != leading_ || holding != holding_;
   leading_ = leading;
+  holding_ = holding;
   term_ = term;
-  if (leading) highest_term_ = std::max(highest_term_, term);
+  if (leading || holding) highest_term_ = std::max(highest_term_, term);
   if (changed) Tick();
 }
 
@@ -61,14 +63,14 @@
 std::string Mesh::FreshLeader() const {
   const Link* best = nullptr;
   for (const auto& link : links_) {
-    if (!Hears(link->peer.label) || !link->last.leading) continue;
+    if (!Hears(link->peer.label) || (!link->last.leading && !link->last.holding)) continue;
     if (best == nullptr || link->last.term > best->last.term) best = link.get();
   }
   return best == nullptr ? std::string() : best->peer.label;
 }
 
 std::string Mesh::Leader() const {
-  if (leading_) return label_;
+  if (leading_ || holding_) return label_;
   std::string direct = FreshLeader();
   if (!direct.empty()) return direct;
   const Link* best = nullptr;
@@ -94,6 +96,15 @@
   return false;
 }
 
+double Mesh::QuietSince(uint64_t term) const {
+  double since = clock_->Now();
+  if (highest_term_ > term) return -1e9;
+  for (const auto& link : links_) since = std::min(since, link->asked_at);
+  return since;
+}
+
+void Mesh::NoteTerm(uint64_t term) { highest_term_ = std::max(highest_term_, term); }
+
 double Mesh::Silence() const {
   double best = 1e9;
   for (const auto& link : links_) best = std::min(best, clock_->Now() - link->heard);
@@ -139,6 +150,7 @@
     if (link->tcp && link->tcp->connected()) {
       MeshFrame frame;
       frame.target = link->peer.label;
+      frame.id = static_cast<uint64_t>(now * 1000);  // comes back with the answer
       frame.body = SelfPing();
       Send(link.get(), frame);
     }
@@ -161,6 +173,7 @@
           if (auto* ping = std::get_if<MeshPing>(&f.body)) {
             link->heard = clock_->Now();
             link->last = *ping;
+            link->asked_at = std::max(link->asked_at, static_cast<double>(f.id) / 1000);
             OnPing(*ping);
           } else if (f.id != 0) {
             Settle(f.id, std::move(f.body));
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -32,8 +32,9 @@
        std::vector<Peer> peers, Server server);
 
   // What this node says of itself from now on.
-  void SetLeading(bool leading, uint64_t term);
-  // The leader as gossip has it; empty when none was heard of lately.
+  void SetLeading(bool leading, bool holding, uint64_t term);
+  // The leader as gossip has it, or who last was and still holds on; empty when
+  // none was heard of lately.
   std::string Leader() const;
   uint64_t HighestTerm() const { return highest_term_; }
   // Asks a node; `done` is called once, from the loop.
@@ -43,6 +44,12 @@
   // True when a peer of that site was not heard at some time of late: it is down,
   // or cut off from here, and its zone's workers may need time to find a way.
   bool Doubtful(const std::string& site) const;
+  // A time at which surely no other node led a term above this one: each peer has
+  // said so in answer to something sent then or later. Held-back packets can't
+  // make it younger than it is.
+  double QuietSince(uint64_t term) const;
+  // A term this node knows of by itself.
+  void NoteTerm(uint64_t term);
   // Time since any peer was heard.
   double Silence() const;
 
@@ -58,6 +65,7 @@
     double tried = -1e9;
     double connected_at = 0;
     MeshPing last;
+    double asked_at = -1e9;     // when the ping was sent that was answered last
   };
   struct Inbound {
     std::unique_ptr<TcpConn> tcp;
@@ -90,6 +98,7 @@
   uint64_t instance_;
   Server server_;
   bool leading_ = false;
+  bool holding_ = false;
   uint64_t term_ = 0;
   uint64_t highest_term_ = 0;
   std::vector<std::unique_ptr<Link>> links_;
--- a/src/wire/mesh.capnp
+++ b/src/wire/mesh.capnp
@@ -26,6 +26,7 @@
   term @3 :UInt64;        # highest term the sender knows of
   leader @4 :Text;        # label of that term's holder
   reaches @5 :List(Text); # peers it heard lately
+  holding @6 :Bool;       # sender still answers reports for its term
 }
 
 struct Job {
--- a/src/wire/mesh_codec.cc
+++ b/src/wire/mesh_codec.cc
@@ -78,6 +78,7 @@
     b.setLabel(Txt(p.label));
     b.setInstance(p.instance);
     b.setLeading(p.leading);
+    b.setHolding(p.holding);
     b.setTerm(p.term);
     b.setLeader(Txt(p.leader));
     auto list = b.initReaches(static_cast<unsigned>(p.reaches.size()));
@@ -149,6 +150,7 @@
       p.label = Str(r.getLabel());
       p.instance = r.getInstance();
       p.leading = r.getLeading();
+      p.holding = r.getHolding();
       p.term = r.getTerm();
       p.leader = Str(r.getLeader());
       for (auto t : r.getReaches()) p.reaches.push_back(Str(t));
--- a/src/wire/mesh_codec.h
+++ b/src/wire/mesh_codec.h
@@ -16,6 +16,7 @@
   std::string label;
   uint64_t instance = 0;
   bool leading = false;
+  bool holding = false;
   uint64_t term = 0;
   std::string leader;
   std::vector<std::string> reaches;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -295,6 +295,7 @@
   std::unique_ptr<Leader> leader;
   std::vector<std::unique_ptr<Leader>> former;
   bool deposed = false;
+  double quiet_since = -1;    // see LeaderPorts
   std::string lead_doubtful;  // zone to which the way is blocked
 
   World() {
@@ -325,7 +326,8 @@
     ++state.revision;
     state.keys["leader"] = {"{}", state.revision, 0};
     lease.until = 1e12;
-    LeaderPorts ports{&state, &cloud, &workers, &clock, &lease, nullptr};
+    LeaderPorts ports{&state, &cloud, &workers, &clock, &lease, nullptr, nullptr};
+    if (quiet_since >= 0) ports.quiet_since = [this](uint64_t) { return quiet_since; };
     ports.doubtful = [this](const std::string& zone) { return zone == lead_doubtful; };
     leader = std::make_unique<Leader>(ports, &settings, &tuning, "leader", state.revision);
     leader->on_deposed = [this](const char*) { deposed = true; };
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -150,6 +150,21 @@
   EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
 }
 
+TEST(Leader, AnOutageThatReachesEverybodyDoesNotEndTheHold) {
+  World w;
+  w.quiet_since = 0;
+  w.Lead();
+  auto& m = w.Machine("m-1", "east");
+  w.lease.until = w.clock.now - 0.1;
+  w.clock.now += HoldSeconds(w.settings) * 3;
+  w.quiet_since = w.clock.now - 1;  // the others know of no later term
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 200);
+  w.quiet_since = w.clock.now - HoldSeconds(w.settings) - 1;
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
+}
+
 TEST(Takeover, AdoptsWhatRunsAndStartsNothingTwice) {
   World w;
   w.Lead();
