--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -31,9 +31,9 @@
   double idle_ordinary_boots = 0.15;
   double drain_s = 25;
   double patient_s = 8;
-  double headroom_free = 0.3;
+  double headroom_free = 0.4;
   double headroom_machines = 1;
-  double headroom_boots = 1.5;
+  double headroom_boots = 1;
   double late_boot = 1.8;
   double give_up_boot = 4;
 };
