--- a/src/api/front.cc
+++ b/src/api/front.cc
@@ -144,8 +144,9 @@
     if (p50 == 0 && below >= 0.5 * total) p50 = cell.bin().upper();
     if (p97 == 0 && below >= 0.97 * total) p97 = cell.bin().upper();
   }
-  spdlog::info("submissions: {} answered, {} not accepted, half within {:.0f} ms, 97% within {:.0f} ms",
-               submits_, refusals_, p50, p97);
+  spdlog::info(
+      "submissions: {} answered, {} not accepted, half within {:.0f} ms, 97% within {:.0f} ms",
+      submits_, refusals_, p50, p97);
   submit_ms_.reset();
   submits_ = refusals_ = 0;
 }
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -57,9 +57,10 @@
       election_(&state_, &clock_, ElectionOf(settings_, tuning_, instance_)),
       mesh_(loop, &clock_, settings_.label, instance_, settings_.mesh_addr, settings_.siblings,
             [this](Mesh::Body body, const Mesh::Reply& reply) { Served(std::move(body), reply); }),
-      front_(&clock_, {[this](UserAsk a, Front::UserDone d) { User(std::move(a), std::move(d)); },
-                       [this](Report r, Front::ReportDone d) { CheckIn(std::move(r), std::move(d)); },
-                       [this] { return Up(); }}),
+      front_(&clock_,
+             {[this](UserAsk a, Front::UserDone d) { User(std::move(a), std::move(d)); },
+              [this](Report r, Front::ReportDone d) { CheckIn(std::move(r), std::move(d)); },
+              [this] { return Up(); }}),
       ticker_(loop, [this] { Tick(); }),
       kick_(loop, [this] { Tick(); }) {
   election_.on_won = [this](uint64_t term) { Won(term); };
--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -34,6 +34,8 @@
   double headroom_free = 0.4;
   double headroom_machines = 1;
   double headroom_boots = 1;
+  double settled_s = 30;
+  double consolidate_spare = 0.2;
   double late_boot = 1.8;
   double give_up_boot = 4;
 };
--- a/src/cloud/cloud_client.cc
+++ b/src/cloud/cloud_client.cc
@@ -42,9 +42,8 @@
   });
 }
 
-void CloudClient::Rent(const std::string& request, const std::string& type,
-                       const std::string& zone, bool spot, int count,
-                       std::function<void(RentAnswer)> done) {
+void CloudClient::Rent(const std::string& request, const std::string& type, const std::string& zone,
+                       bool spot, int count, std::function<void(RentAnswer)> done) {
   Ask({"POST", "/machines", EncodeRental(request, type, zone, spot, count), kTimeout}, 0,
       [done = std::move(done)](const HttpResult& r) {
         RentAnswer answer;
@@ -57,8 +56,7 @@
       });
 }
 
-void CloudClient::Return(const std::vector<std::string>& machines,
-                         std::function<void(bool)> done) {
+void CloudClient::Return(const std::vector<std::string>& machines, std::function<void(bool)> done) {
   Ask({"POST", "/machines/return", EncodeReturn(machines), kTimeout}, 0,
       [done = std::move(done)](const HttpResult& r) { done(r.status == 200); });
 }
--- a/src/cloud/cloud_client.h
+++ b/src/cloud/cloud_client.h
@@ -12,10 +12,9 @@
  public:
   CloudClient(Loop* loop, const Clock* clock, Endpoint at, double rps);
   void Types(std::function<void(bool, std::vector<MachineType>)> done) override;
-  void Rent(const std::string& request, const std::string& type, const std::string& zone,
-            bool spot, int count, std::function<void(RentAnswer)> done) override;
-  void Return(const std::vector<std::string>& machines,
-              std::function<void(bool)> done) override;
+  void Rent(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+            int count, std::function<void(RentAnswer)> done) override;
+  void Return(const std::vector<std::string>& machines, std::function<void(bool)> done) override;
   void List(const std::string& after,
             std::function<void(bool, std::vector<ListedMachine>, bool)> done) override;
 
--- a/src/cloud/rentals.cc
+++ b/src/cloud/rentals.cc
@@ -70,8 +70,8 @@
 
 }  // namespace
 
-Rentals::Rentals(CloudPort* cloud, RowStore* store, Fleet* fleet, JobBook* book,
-                 const Clock* clock, uint64_t term, RentalOptions options)
+Rentals::Rentals(CloudPort* cloud, RowStore* store, Fleet* fleet, JobBook* book, const Clock* clock,
+                 uint64_t term, RentalOptions options)
     : cloud_(cloud),
       store_(store),
       fleet_(fleet),
@@ -223,7 +223,8 @@
   const auto got = static_cast<int>(answer.machines.size());
   if (Pool* pool = PoolOf(intent.type, intent.zone, intent.spot)) {
     if (got < intent.count) {
-      pool->refusal_s = std::clamp(pool->refusal_s * 2, options_.refusal_s, options_.refusal_most_s);
+      pool->refusal_s =
+          std::clamp(pool->refusal_s * 2, options_.refusal_s, options_.refusal_most_s);
       pool->refused_until = now + pool->refusal_s;
       spdlog::info("{} {}{}: {} of {} to be had, not asked again for {} s", intent.zone,
                    intent.type, intent.spot ? " (spot)" : "", got, intent.count, pool->refusal_s);
@@ -372,8 +373,8 @@
       m.rented_wall = clock_->Wall() - row.age_s;
       m.endpoint = "";
       SaveMachine(mi, false);
-      spdlog::info("machine {} ({} in {}) is listed and was not expected: used", row.name,
-                   row.type, row.zone);
+      spdlog::info("machine {} ({} in {}) is listed and was not expected: used", row.name, row.type,
+                   row.zone);
       continue;
     }
     Machine& m = (*fleet_)[mi];
--- a/src/cloud/rentals.h
+++ b/src/cloud/rentals.h
@@ -14,7 +14,7 @@
   double list_every_s = 4;
   double list_lag_s = 8;
   double types_every_s = 45;
-  double refusal_s = 6;      // a pool that refused is left alone this long, doubling
+  double refusal_s = 6;  // a pool that refused is left alone this long, doubling
   double refusal_most_s = 30;
 };
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -387,16 +387,17 @@
 }
 
 uint32_t Fleet::Unaccounted() const {
-  return static_cast<uint32_t>(std::count_if(
-      machines_.begin(), machines_.end(),
-      [](const Machine& m) { return m.may_hold && !m.accounted && !m.gone; }));
+  return static_cast<uint32_t>(
+      std::count_if(machines_.begin(), machines_.end(),
+                    [](const Machine& m) { return m.may_hold && !m.accounted && !m.gone; }));
 }
 
 bool Fleet::LeaseOver(const Machine& m, double now, double term_began) const {
   const double lease = options_.lease_s * (1 + options_.drift) + 0.5;
   if (m.accounted) return now > std::max(m.answered_at, m.heard_at) + lease;
   // A former leader may have answered it until its hold was over.
-  const double last = std::max(m.answered_at, term_began + options_.old_hold_s * (1 + options_.drift));
+  const double last =
+      std::max(m.answered_at, term_began + options_.old_hold_s * (1 + options_.drift));
   return now > last + lease;
 }
 
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -68,20 +68,20 @@
   uint32_t team = kNone;
   uint32_t image = kNone;
   uint32_t klass = kNone;
-  uint32_t zone = kNone;        // the only allowed zone
+  uint32_t zone = kNone;  // the only allowed zone
   double submitted_wall = 0;
-  double ended_at = -1;         // steady time at which it was done or cancelled
+  double ended_at = -1;  // steady time at which it was done or cancelled
   std::vector<Task> tasks;
   std::vector<uint32_t> waiting;  // stack of waiting tasks
   uint32_t unseen = 0;
   uint32_t placed = 0;
   uint32_t done = 0;
-  uint32_t running = 0;         // seen running
+  uint32_t running = 0;  // seen running
   RowId row = kNoRow;
-  std::vector<RowId> chunks;    // further rows of finished tasks
-  bool told = false;            // accepted durably
-  bool end_told = false;        // its end is durable; stays true when its row is rewritten
-  bool from_store = false;      // accepted in an earlier term
+  std::vector<RowId> chunks;  // further rows of finished tasks
+  bool told = false;          // accepted durably
+  bool end_told = false;      // its end is durable; stays true when its row is rewritten
+  bool from_store = false;    // accepted in an earlier term
 
   // Ranking.
   double left = 0;    // core-seconds left in the imagined run
@@ -101,17 +101,17 @@
   JobIdx job = kNone;
   uint32_t task = 0;
   uint64_t attempt = 0;
-  std::string name;           // "job-000412/3"
-  bool keep = true;           // false: it shall go
+  std::string name;  // "job-000412/3"
+  bool keep = true;  // false: it shall go
   double grace_s = 0;
   double stop_sent = -1e9;
   double stop_first = -1;
   uint64_t launch_token = 0;  // of the last launch sent; 0: none
   bool seen = false;
-  bool asked_away = false;    // stopped by us for another's sake
+  bool asked_away = false;  // stopped by us for another's sake
   TaskState state = TaskState::kFetching;
   ExitWhy why = ExitWhy::kNone;
-  bool gone = false;          // exited; no longer takes room
+  bool gone = false;  // exited; no longer takes room
   double launched_at = 0;
   double running_since = -1;
   // What it takes, and from whose limit.
@@ -128,32 +128,35 @@
   uint32_t zone = kNone;
   bool spot = false;
   RowId row = kNoRow;
-  bool up = false;          // has reported
-  bool accounted = false;   // nothing unknown can be on it
-  bool may_hold = false;    // an earlier leader may have started tasks on it
+  bool up = false;         // has reported
+  bool accounted = false;  // nothing unknown can be on it
+  bool may_hold = false;   // an earlier leader may have started tasks on it
   bool gone = false;
   bool returning = false;
   bool return_sent = false;
-  bool drain = false;       // takes no new tasks
+  bool drain = false;     // takes no new tasks
+  bool emptying = false;  // its replicas move elsewhere, then it goes back
+  double emptying_since = 0;
+  double moved_at = -1e9;  // last replica told to move
   uint64_t session = 1;
   uint64_t seq = 0;
-  uint64_t token = 0;       // the one to give commands with
+  uint64_t token = 0;  // the one to give commands with
   uint64_t seen_token = 0;
-  double known_at = 0;      // first heard of, in this term
+  double known_at = 0;  // first heard of, in this term
   double rented_wall = 0;
   double up_at = -1;
-  double heard_at = -1e9;   // last report or answer
-  double answered_at = -1e9;// last report we answered with 200
-  double notice_until = -1; // the cloud takes it away
+  double heard_at = -1e9;     // last report or answer
+  double answered_at = -1e9;  // last report we answered with 200
+  double notice_until = -1;   // the cloud takes it away
   bool do_busy = false;
-  double do_after = 0;      // no direct command before
+  double do_after = 0;  // no direct command before
   int do_fails = 0;
   bool probing = false;
   int probe_fails = 0;
   double no_room_until = 0;
   double sick_until = 0;
   int sick_count = 0;
-  int task_fails = 0;       // since the last success
+  int task_fails = 0;  // since the last success
   double idle_since = -1;
   std::vector<uint32_t> images;  // likely cached
   std::vector<Slot> slots;
--- a/src/fleet/worker_port.h
+++ b/src/fleet/worker_port.h
@@ -10,8 +10,8 @@
 namespace deckhall {
 
 struct WorkerAnswer {
-  int status = 0;           // 0: no usable answer
-  bool sent = false;        // false: nothing can have reached the worker
+  int status = 0;     // 0: no usable answer
+  bool sent = false;  // false: nothing can have reached the worker
   bool has_report = false;
   Report report;
 };
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -187,8 +187,8 @@
     return "more gpus than the team's limit";
   }
   for (const MachineType& t : rentals_.types()) {
-    if (spec.types && std::find(spec.types->begin(), spec.types->end(), t.name) ==
-                          spec.types->end()) {
+    if (spec.types &&
+        std::find(spec.types->begin(), spec.types->end(), t.name) == spec.types->end()) {
       continue;
     }
     if (!spec.zone.empty() &&
@@ -227,8 +227,8 @@
       done(r);
       return;
     }
-    if (book_.live().size() >= kMaxLiveJobs ||
-        book_.live_tasks() + ask.job.tasks > kMaxLiveTasks || waiters_.size() >= kMaxWaiters) {
+    if (book_.live().size() >= kMaxLiveJobs || book_.live_tasks() + ask.job.tasks > kMaxLiveTasks ||
+        waiters_.size() >= kMaxWaiters) {
       r.status = 429;
       r.error = "too much is waiting";
       r.retry_after_s = 10;
@@ -360,7 +360,8 @@
       // A job that fails wherever it goes says nothing about the machine.
       if (job.failed_on.size() <= 2 && new_place) ++m.task_fails;
       if (job.fail_streak >= 3) {
-        const double wait = std::min(60.0, std::pow(2.0, std::min<uint32_t>(job.fail_streak, 9) - 3));
+        const double wait =
+            std::min(60.0, std::pow(2.0, std::min<uint32_t>(job.fail_streak, 9) - 3));
         job.backoff_until = now + wait;
       }
       spdlog::info("machine {}: {} failed (job {} in a row, machine {})", m.name, slot.name,
@@ -458,7 +459,8 @@
     spdlog::info("machine {}: its lease under the former leader surely ran out", m.name);
     fleet_.Account(mi);
   }
-  const bool busy = std::any_of(m.slots.begin(), m.slots.end(), [](const Slot& s) { return !s.gone; });
+  const bool busy =
+      std::any_of(m.slots.begin(), m.slots.end(), [](const Slot& s) { return !s.gone; });
   if (silent < (busy ? tuning_->probe_s : tuning_->silent_s)) return;
   double limit = waited_for                      ? tuning_->takeover_wait_s
                  : silent_machines_ > kFewSilent ? tuning_->lost_s
@@ -475,17 +477,16 @@
   }
   if (m.probing || m.endpoint.empty()) return;
   m.probing = true;
-  ports_.workers->Inspect(m.endpoint, kProbeTimeout,
-                          [this, mi](const WorkerAnswer& a) {
-                            if (retired_) return;
-                            Machine& machine = fleet_[mi];
-                            machine.probing = false;
-                            if (!a.has_report || a.report.machine != machine.name) {
-                              ++machine.probe_fails;
-                              return;
-                            }
-                            fleet_.Process(mi, a.report);
-                          });
+  ports_.workers->Inspect(m.endpoint, kProbeTimeout, [this, mi](const WorkerAnswer& a) {
+    if (retired_) return;
+    Machine& machine = fleet_[mi];
+    machine.probing = false;
+    if (!a.has_report || a.report.machine != machine.name) {
+      ++machine.probe_fails;
+      return;
+    }
+    fleet_.Process(mi, a.report);
+  });
 }
 
 void Leader::Notice(MachIdx mi) {
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -188,7 +188,8 @@
     n.usable = Usable(m);
   }
   for (const Slot& s : m.slots) {
-    if (s.gone || !s.keep || s.job == kNone || (s.seen && s.state != TaskState::kFetching)) continue;
+    if (s.gone || !s.keep || s.job == kNone || (s.seen && s.state != TaskState::kFetching))
+      continue;
     n.coming.push_back((*book_)[s.job].image);
   }
   return n;
@@ -281,8 +282,8 @@
   n.spot_ok = job.spec.spot;
   n.service = job.spec.service;
   // A replica that never ran and has waited for long, as at a cold start.
-  n.patient = n.service && job.placed == 0 &&
-              clock_->Now() - job.waiting_since > tuning_->patient_s;
+  n.patient =
+      n.service && job.placed == 0 && clock_->Now() - job.waiting_since > tuning_->patient_s;
   n.image = job.image;
   n.image_gb = job.spec.image_gb;
   n.avoid = job.failed_on.empty() ? nullptr : &job.failed_on;
@@ -596,6 +597,7 @@
   if (!rentals_->types_known()) return;
   WantedMachines();
   ReturnIdle(headroom_);
+  Consolidate();
 }
 
 void Placer::WantedMachines() {
@@ -736,8 +738,8 @@
       continue;
     }
     const double per = std::max(job.spec.cores, 0.1);
-    auto n = static_cast<uint32_t>(std::min<double>(static_cast<double>(job.waiting.size()),
-                                                    std::ceil(left / per)));
+    auto n = static_cast<uint32_t>(
+        std::min<double>(static_cast<double>(job.waiting.size()), std::ceil(left / per)));
     n = within_limit(job, n);
     if (n == 0) continue;
     left -= n * per;
@@ -752,6 +754,93 @@
   }
 }
 
+// As services end, the rest of them is spread thinly over ordinary machines. The
+// emptiest one is emptied, a replica at a time, each to where its image is.
+void Placer::Consolidate() {
+  const double now = clock_->Now();
+  bool waits = fleet_->Unaccounted() > 0 || rentals_->Renting();
+  for (JobIdx j : book_->live()) waits = waits || !(*book_)[j].waiting.empty();
+  double free = 0;
+  MachIdx chosen = kNone;
+  MachIdx emptiest = kNone;
+  double least = 0;
+  for (MachIdx mi = 0; mi < fleet_->size(); ++mi) {
+    Machine& m = (*fleet_)[mi];
+    if (m.gone || m.returning) continue;
+    if (m.emptying) {
+      chosen = mi;
+      continue;
+    }
+    if (m.spot || !Usable(m)) continue;
+    free += NodeOf(mi).cores;
+    const double used = Fleet::UsedCores(m);
+    const bool settled =
+        now - m.up_at > tuning_->settled_s &&
+        std::all_of(m.slots.begin(), m.slots.end(), [this, now](const Slot& s) {
+          return s.gone || (s.keep && s.job != kNone && s.state == TaskState::kRunning &&
+                            now - s.launched_at > tuning_->settled_s);
+        });
+    if (settled && (emptiest == kNone || used < least)) {
+      emptiest = mi;
+      least = used;
+    }
+  }
+  if (chosen != kNone) {
+    Machine& m = (*fleet_)[chosen];
+    if (waits && now - m.emptying_since > 3 && now - m.moved_at > 3) {
+      // Its room is needed after all.
+      m.emptying = m.drain = false;
+      return;
+    }
+    if (!waits && now - m.moved_at > 0.5) MoveOne(chosen);
+    return;
+  }
+  if (waits || emptiest == kNone) return;
+  const MachineType* type = rentals_->TypeOf((*fleet_)[emptiest].type);
+  const double others = free - (type == nullptr ? 0 : type->cores - least);
+  if (others < least + headroom_ + tuning_->consolidate_spare * headroom_) return;
+  Machine& m = (*fleet_)[emptiest];
+  m.emptying = m.drain = true;
+  m.emptying_since = now;
+  spdlog::info("emptying machine {}: {} cores in use there, {} free elsewhere", m.name, least,
+               others);
+}
+
+void Placer::MoveOne(MachIdx mi) {
+  Machine& m = (*fleet_)[mi];
+  for (Slot& s : m.slots) {
+    if (s.gone || !s.keep || s.job == kNone || s.state != TaskState::kRunning) continue;
+    const Job& job = (*book_)[s.job];
+    if (!job.spec.service) continue;               // arrays end by themselves
+    if (job.running < job.tasks.size()) continue;  // one replica of a job at a time
+    std::vector<char> types;
+    std::vector<char> zones;
+    std::vector<uint32_t> on;
+    for (MachIdx other = 0; other < fleet_->size(); ++other) {
+      for (const Slot& t : (*fleet_)[other].slots) {
+        if (t.job == s.job && !t.gone && t.attempt != s.attempt) on.push_back(other);
+      }
+    }
+    if (!ZoneRoom(job, &zones, on)) continue;
+    Need need = NeedOf(s.job, &types, &zones, &on);
+    need.patient = false;
+    need.cached_only = true;
+    std::vector<Node> nodes;
+    for (MachIdx other = 0; other < fleet_->size(); ++other) {
+      const Machine& o = (*fleet_)[other];
+      if (other == mi || o.gone || !o.up) continue;
+      nodes.push_back(NodeOf(other));
+      nodes.back().coming.clear();
+    }
+    if (PickNode(need, nodes) < 0) continue;
+    spdlog::info("moving {} off {}", s.name, m.name);
+    fleet_->Unwant(&s, 0);
+    m.moved_at = clock_->Now();
+    fleet_->changed = true;
+    return;
+  }
+}
+
 void Placer::ReturnIdle(double headroom) {
   const double now = clock_->Now();
   const double wall = clock_->Wall();
@@ -799,6 +888,10 @@
       rentals_->Return(mi, "fails the tasks it starts");
       continue;
     }
+    if (m.emptying) {
+      rentals_->Return(mi, "emptied");
+      continue;
+    }
     const double idle = now - m.idle_since;
     if (m.spot) {
       if (idle > tuning_->idle_spot_boots * boot && waiting <= 0) rentals_->Return(mi, "idle");
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -69,6 +69,8 @@
   // Cores of ordinary machines that services may claim from arrays.
   double Preemptible() const;
   void ReturnIdle(double headroom);
+  void Consolidate();
+  void MoveOne(MachIdx m);
   void WantedMachines();
 
   JobBook* book_;
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -8,10 +8,10 @@
 namespace {
 
 constexpr double kPingEvery = 0.3;
-constexpr double kFresh = 1.0;   // a peer heard within this is there
+constexpr double kFresh = 1.0;  // a peer heard within this is there
 constexpr double kDoubt = 10;
 constexpr double kRedial = 0.5;
-constexpr double kStuck = 1.5;   // a link silent for this long is dialled anew
+constexpr double kStuck = 1.5;  // a link silent for this long is dialled anew
 constexpr size_t kMaxInbound = 64;
 constexpr size_t kMaxPending = 2000;
 constexpr size_t kMaxUnsent = 1 << 20;
@@ -125,8 +125,7 @@
   }
   for (auto& link : links_) {
     const auto& reaches = link->last.reaches;
-    if (link.get() != straight && Hears(link->peer.label) && link->tcp &&
-        link->tcp->connected() &&
+    if (link.get() != straight && Hears(link->peer.label) && link->tcp && link->tcp->connected() &&
         std::find(reaches.begin(), reaches.end(), label) != reaches.end()) {
       return link.get();
     }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -65,7 +65,7 @@
     double tried = -1e9;
     double connected_at = 0;
     MeshPing last;
-    double asked_at = -1e9;     // when the ping was sent that was answered last
+    double asked_at = -1e9;  // when the ping was sent that was answered last
   };
   struct Inbound {
     std::unique_ptr<TcpConn> tcp;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,9 +6,9 @@
 
 void HttpClient::Later(Done done, HttpResult result) {
   // Tells a failure from the loop, so that callers see one order of events.
-  later_.erase(std::remove_if(later_.begin(), later_.end(),
-                              [](const auto& t) { return !t->active(); }),
-               later_.end());
+  later_.erase(
+      std::remove_if(later_.begin(), later_.end(), [](const auto& t) { return !t->active(); }),
+      later_.end());
   later_.push_back(std::make_unique<Timer>(
       loop_, [done = std::move(done), result = std::move(result)] { done(result); }));
   later_.back()->Start(0.001);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -32,7 +32,9 @@
   using Done = std::function<void(HttpResult)>;
 
   HttpClient(Loop* loop, size_t max_connections, size_t max_body)
-      : loop_(loop), max_connections_(max_connections), max_body_(max_body),
+      : loop_(loop),
+        max_connections_(max_connections),
+        max_body_(max_body),
         reaper_(loop, [this] { dropped_.clear(); }) {}
 
   // `done` is called once, from the loop, never from within Call.
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -5,7 +5,9 @@
 
 namespace deckhall {
 
-Loop::Loop() : loop_(ev_loop_new(static_cast<unsigned>(EVBACKEND_EPOLL) | static_cast<unsigned>(EVFLAG_NOENV))) {
+Loop::Loop()
+    : loop_(ev_loop_new(static_cast<unsigned>(EVBACKEND_EPOLL) |
+                        static_cast<unsigned>(EVFLAG_NOENV))) {
   if (loop_ == nullptr) throw std::runtime_error("no event loop");
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -15,7 +15,9 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  struct ev_loop* ev() { return loop_; }
+  struct ev_loop* ev() {
+    return loop_;
+  }
   void Run();
   void Stop();
   // Steady clock in seconds, as of this turn of the loop.
--- a/src/sched/fsp.h
+++ b/src/sched/fsp.h
@@ -7,9 +7,9 @@
 namespace deckhall {
 
 struct FspJob {
-  double left = 0;    // core-seconds still to do in the imagined run
+  double left = 0;  // core-seconds still to do in the imagined run
   double weight = 1;
-  double cap = 0;     // cores its unfinished tasks can use at once
+  double cap = 0;  // cores its unfinished tasks can use at once
 };
 
 // Cores each job gets of `capacity`: by weight, none more than its cap.
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -42,8 +42,7 @@
     // One fetch serves all tasks there that need the image.
     const bool coming = !cached && Has(&n.coming, need.image);
     if (need.cached_only && !cached && !coming) continue;
-    const double fetch_s =
-        need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming ? 0.5 : 1.0);
+    const double fetch_s = need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming ? 0.5 : 1.0);
     if (need.patient) {
       // Its start is late anyway. A machine that gets the image now can start
       // later replicas at once.
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -11,8 +11,8 @@
   uint32_t type = 0;
   uint32_t zone = 0;
   bool spot = false;
-  bool usable = false;       // takes new tasks now
-  double cores = 0;          // free
+  bool usable = false;  // takes new tasks now
+  double cores = 0;     // free
   double gpus = 0;
   double memory_gb = 0;
   double total_cores = 0;
@@ -30,13 +30,13 @@
   uint32_t zone = UINT32_MAX;                // the only allowed one
   bool spot_ok = false;
   bool service = false;
-  bool patient = false;                      // late already: may seed caches
-  bool cached_only = false;                  // waits for a machine with its image
+  bool patient = false;      // late already: may seed caches
+  bool cached_only = false;  // waits for a machine with its image
   uint32_t image = UINT32_MAX;
   double image_gb = 0;
-  const std::vector<uint32_t>* avoid = nullptr;  // machines it failed on
+  const std::vector<uint32_t>* avoid = nullptr;     // machines it failed on
   const std::vector<uint32_t>* siblings = nullptr;  // machines with tasks of the job
-  const std::vector<char>* zones = nullptr;  // by zone: may take one more; null: all
+  const std::vector<char>* zones = nullptr;         // by zone: may take one more; null: all
 };
 
 bool Allows(const Need& need, uint32_t type, uint32_t zone, bool spot);
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-RowStore::RowStore(StatePort* state, const Clock* clock, StoreLimits limits,
-                   std::string leader_key, uint64_t term)
+RowStore::RowStore(StatePort* state, const Clock* clock, StoreLimits limits, std::string leader_key,
+                   uint64_t term)
     : state_(state),
       clock_(clock),
       limits_(limits),
@@ -137,7 +137,8 @@
 }
 
 bool RowStore::AllDurable() const {
-  return !busy_ && std::none_of(pages_.begin(), pages_.end(), [](const Page& p) { return p.dirty; });
+  return !busy_ &&
+         std::none_of(pages_.begin(), pages_.end(), [](const Page& p) { return p.dirty; });
 }
 
 std::string RowStore::Render(const Page& page, size_t* bytes) const {
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -33,22 +33,22 @@
     return;
   }
   const std::string what = call.method + " " + call.path;
-  http_.Call(at_, std::move(call), [this, what, reader = std::move(reader),
-                                    done = std::move(done)](const HttpResult& r) {
-    StateAnswer answer;
-    if (r.status == 0) {
-      answer.outcome = r.sent ? StateOutcome::kUnknown : StateOutcome::kRefused;
-    } else if (r.status == 429 || r.status == 503) {
-      answer.outcome = StateOutcome::kRefused;
-      if (r.status == 429) requests_.Drain();
-    } else {
-      reader(r, &answer);
-      if (answer.outcome == StateOutcome::kUnknown) {
-        spdlog::warn("state service: unusable answer {} to {}", r.status, what);
-      }
-    }
-    done(std::move(answer));
-  });
+  http_.Call(at_, std::move(call),
+             [this, what, reader = std::move(reader), done = std::move(done)](const HttpResult& r) {
+               StateAnswer answer;
+               if (r.status == 0) {
+                 answer.outcome = r.sent ? StateOutcome::kUnknown : StateOutcome::kRefused;
+               } else if (r.status == 429 || r.status == 503) {
+                 answer.outcome = StateOutcome::kRefused;
+                 if (r.status == 429) requests_.Drain();
+               } else {
+                 reader(r, &answer);
+                 if (answer.outcome == StateOutcome::kUnknown) {
+                   spdlog::warn("state service: unusable answer {} to {}", r.status, what);
+                 }
+               }
+               done(std::move(answer));
+             });
 }
 
 void StateClient::Commit(const Txn& txn, Done done) {
@@ -59,7 +59,8 @@
     if (!refuse_.active()) refuse_.Start(0.02);
     return;
   }
-  Ask({"POST", "/txn", EncodeTxn(txn), kTimeout}, 2,
+  Ask(
+      {"POST", "/txn", EncodeTxn(txn), kTimeout}, 2,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200 && DecodeRevision(r.body, &a->number)) a->outcome = StateOutcome::kOk;
         if (r.status == 409 || r.status == 400) a->outcome = StateOutcome::kConflict;
@@ -69,7 +70,8 @@
 }
 
 void StateClient::Get(const std::string& key, Done done) {
-  Ask({"GET", "/kv/" + key, "", kTimeout}, 2,
+  Ask(
+      {"GET", "/kv/" + key, "", kTimeout}, 2,
       [](const HttpResult& r, StateAnswer* a) {
         KvRow row;
         if (r.status == 200 && DecodeRow(r.body, &row)) {
@@ -86,7 +88,8 @@
 void StateClient::List(const std::string& prefix, const std::string& after, Done done) {
   std::string path = "/kv?starts=" + prefix + "&page=200";
   if (!after.empty()) path += "&from=" + after;
-  Ask({"GET", path, "", kTimeout}, 2,
+  Ask(
+      {"GET", path, "", kTimeout}, 2,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200 && DecodeRows(r.body, &a->rows, &a->truncated, &a->number)) {
           a->outcome = StateOutcome::kOk;
@@ -96,7 +99,8 @@
 }
 
 void StateClient::Grant(int ttl_ms, Done done) {
-  Ask({"POST", "/grants", EncodeGrant(ttl_ms), kTimeout}, 1,
+  Ask(
+      {"POST", "/grants", EncodeGrant(ttl_ms), kTimeout}, 1,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200 && DecodeGrant(r.body, &a->number)) a->outcome = StateOutcome::kOk;
       },
@@ -104,7 +108,8 @@
 }
 
 void StateClient::Extend(uint64_t lease, double timeout_s, Done done) {
-  Ask({"POST", "/grants/" + std::to_string(lease) + "/extend", "{}", timeout_s}, -rps_ * 0.1,
+  Ask(
+      {"POST", "/grants/" + std::to_string(lease) + "/extend", "{}", timeout_s}, -rps_ * 0.1,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200) a->outcome = StateOutcome::kOk;
         if (r.status == 404) a->outcome = StateOutcome::kConflict;
@@ -113,7 +118,8 @@
 }
 
 void StateClient::Drop(uint64_t lease, Done done) {
-  Ask({"DELETE", "/grants/" + std::to_string(lease), "", kTimeout}, 1,
+  Ask(
+      {"DELETE", "/grants/" + std::to_string(lease), "", kTimeout}, 1,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200 || r.status == 204) a->outcome = StateOutcome::kOk;
         if (r.status == 404) a->outcome = StateOutcome::kConflict;
@@ -124,7 +130,8 @@
 void StateClient::Watch(const std::string& prefix, uint64_t after, int hold_ms, Done done) {
   const std::string path = "/follow?starts=" + prefix + "&from=" + std::to_string(after) +
                            "&hold_ms=" + std::to_string(hold_ms);
-  Ask({"GET", path, "", hold_ms / 1000.0 + 3}, 2,
+  Ask(
+      {"GET", path, "", hold_ms / 1000.0 + 3}, 2,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200 && DecodeRevision(r.body, &a->number)) a->outcome = StateOutcome::kOk;
         if (r.status == 410) a->outcome = StateOutcome::kConflict;
--- a/src/wire/http_parser.cc
+++ b/src/wire/http_parser.cc
@@ -86,8 +86,8 @@
     switch (stage_) {
       case Stage::kHead: {
         // Empty lines before a message are skipped, as RFC 9112 advises.
-        while (cursor_ < buffer_.size() &&
-               (buffer_[cursor_] == '\r' || buffer_[cursor_] == '\n') && scan_ <= cursor_) {
+        while (cursor_ < buffer_.size() && (buffer_[cursor_] == '\r' || buffer_[cursor_] == '\n') &&
+               scan_ <= cursor_) {
           ++cursor_;
           scan_ = cursor_;
         }
--- a/src/wire/mesh_codec.cc
+++ b/src/wire/mesh_codec.cc
@@ -248,7 +248,7 @@
     capnp::FlatArrayMessageReader reader(words);
     Read(reader.getRoot<mesh::Frame>(), frame);
   });
-  KJ_IF_MAYBE(e, failed) {
+  KJ_IF_MAYBE (e, failed) {
     (void)e;
     ok = false;
   }
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -37,7 +37,13 @@
 
 enum class JobState : uint8_t { kPending = 0, kRunning = 1, kDone = 2, kCancelled = 3 };
 
-enum class TaskState : uint8_t { kFetching = 0, kRunning = 1, kSaving = 2, kExited = 3, kGathering = 4 };
+enum class TaskState : uint8_t {
+  kFetching = 0,
+  kRunning = 1,
+  kSaving = 2,
+  kExited = 3,
+  kGathering = 4
+};
 
 enum class ExitWhy : uint8_t {
   kNone = 0,
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -161,12 +161,14 @@
 
 TEST(Tuning, SExpressionsAreReadAndChecked) {
   Tuning t;
-  EXPECT_EQ(ReadTuning(R"x((deckhall (leader (lease-ms "4000")) (rank (weight-idle "0.5"))))x", &t), "");
+  EXPECT_EQ(ReadTuning(R"x((deckhall (leader (lease-ms "4000")) (rank (weight-idle "0.5"))))x", &t),
+            "");
   EXPECT_EQ(t.lease_ms, 4000);
   EXPECT_EQ(t.weight_idle, 0.5);
-  for (const char* bad : {"", "(", "(other)", "(deckhall (leader (lease-ms x)))", "(deckhall (leader (lease-ms 4000)))",
-                          R"x((deckhall (leader (lease-ms "1"))))x", "(deckhall leader)",
-                          R"x((deckhall (leader (lease-ms "1000") (renew-ms "900"))))x"}) {
+  for (const char* bad :
+       {"", "(", "(other)", "(deckhall (leader (lease-ms x)))",
+        "(deckhall (leader (lease-ms 4000)))", R"x((deckhall (leader (lease-ms "1"))))x",
+        "(deckhall leader)", R"x((deckhall (leader (lease-ms "1000") (renew-ms "900"))))x"}) {
     Tuning out;
     EXPECT_NE(ReadTuning(bad, &out), "") << bad;
   }
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -31,9 +31,9 @@
   uint64_t revision = 100;
   uint64_t next_lease = 1;
   std::map<uint64_t, bool> leases;
-  bool refuse = false;       // 503
-  int lose_answers = 0;      // carried out, answer lost
-  int hold_commits = 0;      // not carried out now; see Late()
+  bool refuse = false;   // 503
+  int lose_answers = 0;  // carried out, answer lost
+  int hold_commits = 0;  // not carried out now; see Late()
   std::vector<Txn> late;
   std::vector<Txn> committed;
   double write_room = 100;
@@ -185,9 +185,9 @@
 // Workers that answer commands as PROTOCOL says, unless they are silent.
 struct FakeWorker {
   Report report;
-  bool silent = false;       // nothing arrives, nothing is answered
-  int lose_answers = 0;      // executed, answer lost
-  int hold = 0;              // commands held back; see Late()
+  bool silent = false;   // nothing arrives, nothing is answered
+  int lose_answers = 0;  // executed, answer lost
+  int hold = 0;          // commands held back; see Late()
   std::vector<std::pair<uint64_t, std::pair<uint64_t, std::vector<Command>>>> held;
   std::vector<std::string> started;
 
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -114,9 +114,9 @@
 TEST(Leader, WhatCanNeverRunIsRefused) {
   World w;
   w.Lead();
-  EXPECT_EQ(w.Submit(w.Array("job-1", 1, 9)).status, 422);   // no such machine
-  EXPECT_EQ(w.Submit(w.Service("job-2", 9)).status, 422);    // over the limit as a whole
-  EXPECT_EQ(w.Submit(w.Array("job-3", 9)).status, 201);      // one task at a time is fine
+  EXPECT_EQ(w.Submit(w.Array("job-1", 1, 9)).status, 422);  // no such machine
+  EXPECT_EQ(w.Submit(w.Service("job-2", 9)).status, 422);   // over the limit as a whole
+  EXPECT_EQ(w.Submit(w.Array("job-3", 9)).status, 201);     // one task at a time is fine
   JobSpec spec = w.Array("job-4", 1);
   spec.team = "green";
   EXPECT_EQ(w.Submit(spec).status, 422);
@@ -436,9 +436,8 @@
   one.one_zone = true;
   w.Submit(one);
   w.Pass(1);
-  const auto on_a = std::count_if(a.started.begin(), a.started.end(), [](const std::string& s) {
-    return s.starts_with("job-2");
-  });
+  const auto on_a = std::count_if(a.started.begin(), a.started.end(),
+                                  [](const std::string& s) { return s.starts_with("job-2"); });
   EXPECT_TRUE(on_a == 0 || on_a == 3);
 }
 
@@ -520,6 +519,29 @@
   EXPECT_NE(w.cloud.returned[0], a.Has("job-1/0") ? "m-1" : "m-2");
 }
 
+TEST(Placer, AThinlyUsedMachineIsEmptiedReplicaByReplica) {
+  World w;
+  w.cloud.refuse = true;
+  w.tuning.settled_s = 5;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "east");
+  w.Submit(w.Service("job-1", 2, 1));
+  w.Pass(2);
+  ASSERT_EQ(a.started.size() + b.started.size(), 2U);
+  ASSERT_EQ(a.started.size(), 1U);  // they spread
+  for (int i = 0; i < 40; ++i) {
+    w.Pass(0.5);
+    EXPECT_GE(static_cast<int>(a.Has("job-1/0")) + static_cast<int>(b.Has("job-1/0")) +
+                  static_cast<int>(a.Has("job-1/1")) + static_cast<int>(b.Has("job-1/1")),
+              1);
+  }
+  ASSERT_EQ(w.cloud.returned.size(), 1U);
+  FakeWorker& kept = w.cloud.returned[0] == "m-1" ? b : a;
+  EXPECT_TRUE(kept.Has("job-1/0"));
+  EXPECT_TRUE(kept.Has("job-1/1"));
+}
+
 TEST(Rentals, AMachinesNameIsDurableBeforeItsFirstLaunch) {
   World w;
   w.Lead();
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -13,10 +13,10 @@
 HttpParser Requests() { return {HttpParser::Kind::kRequest, 1024, 256}; }
 
 TEST(HttpParser, TakesInputSplitAtEveryByte) {
-  const std::string texts[] = {
-      "POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
-      "POST /a?b=c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: "
-      "v\r\n\r\n"};
+  const std::string texts[] = {"POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+                               "POST /a?b=c HTTP/1.1\r\nTransfer-Encoding: "
+                               "chunked\r\n\r\n2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nT: "
+                               "v\r\n\r\n"};
   for (const std::string& text : texts) {
     for (size_t cut = 0; cut <= text.size(); ++cut) {
       HttpParser p = Requests();
@@ -112,16 +112,24 @@
 }
 
 TEST(JobCodec, RefusesWhatIsNoJob) {
-  const std::pair<const char*, const char*> swaps[] = {
-      {"\"job-000412\"", "\"task-1\""},  {"\"job-000412\"", "7"},
-      {"\"sweep\"", "\"dance\""},         {"\"urgent\"", "null"},
-      {"\"faenas\":16", "\"faenas\":0"},  {"\"faenas\":16", "\"faenas\":-1"},
-      {"\"faenas\":16", "\"faenas\":1.5"}, {"\"faenas\":16", "\"faenas\":100001"},
-      {"\"cores\":8.0", "\"cores\":-8"},  {"\"cores\":8.0", "\"cores\":1e300"},
-      {"\"cores\":8.0", "\"cores\":\"8\""}, {"\"memory_gb\":64.0,", ""},
-      {"\"carga\":\"img-07\"", "\"carga\":\"\""}, {"[\"g8\"]", "[8]"},
-      {"[\"g8\"]", "\"g8\""},             {"\"one_zone\":true", "\"one_zone\":1"},
-      {"\"rumbo_s\":240.0", "\"rumbo_s\":null"}, {"900.0", "-1"}};
+  const std::pair<const char*, const char*> swaps[] = {{"\"job-000412\"", "\"task-1\""},
+                                                       {"\"job-000412\"", "7"},
+                                                       {"\"sweep\"", "\"dance\""},
+                                                       {"\"urgent\"", "null"},
+                                                       {"\"faenas\":16", "\"faenas\":0"},
+                                                       {"\"faenas\":16", "\"faenas\":-1"},
+                                                       {"\"faenas\":16", "\"faenas\":1.5"},
+                                                       {"\"faenas\":16", "\"faenas\":100001"},
+                                                       {"\"cores\":8.0", "\"cores\":-8"},
+                                                       {"\"cores\":8.0", "\"cores\":1e300"},
+                                                       {"\"cores\":8.0", "\"cores\":\"8\""},
+                                                       {"\"memory_gb\":64.0,", ""},
+                                                       {"\"carga\":\"img-07\"", "\"carga\":\"\""},
+                                                       {"[\"g8\"]", "[8]"},
+                                                       {"[\"g8\"]", "\"g8\""},
+                                                       {"\"one_zone\":true", "\"one_zone\":1"},
+                                                       {"\"rumbo_s\":240.0", "\"rumbo_s\":null"},
+                                                       {"900.0", "-1"}};
   for (const auto& [from, to] : swaps) {
     std::string text = kJob;
     text.replace(text.find(from), std::string(from).size(), to);
