--- a/src/cloud/cloud_client.cc
+++ b/src/cloud/cloud_client.cc
@@ -21,13 +21,13 @@
         for (auto& done : std::exchange(refused_, {})) done(HttpResult());
       }) {}
 
-void CloudClient::Ask(HttpCall call, double reserve, HttpClient::Done done) {
+void CloudClient::Ask(const HttpCall& call, double reserve, HttpClient::Done done) {
   if (!budget_.Take(clock_->Now(), 1, reserve)) {
     refused_.push_back(std::move(done));
     if (!refuse_.active()) refuse_.Start(0.05);
     return;
   }
-  http_.Call(at_, std::move(call), [this, done = std::move(done)](HttpResult r) {
+  http_.Call(at_, call, [this, done = std::move(done)](HttpResult r) {
     if (r.status == 429) budget_.Drain();
     done(std::move(r));
   });
--- a/src/cloud/cloud_client.h
+++ b/src/cloud/cloud_client.h
@@ -19,7 +19,7 @@
             std::function<void(bool, std::vector<ListedMachine>, bool)> done) override;
 
  private:
-  void Ask(HttpCall call, double reserve, HttpClient::Done done);
+  void Ask(const HttpCall& call, double reserve, HttpClient::Done done);
 
   const Clock* clock_;
   Endpoint at_;
--- a/src/fleet/worker_client.cc
+++ b/src/fleet/worker_client.cc
@@ -6,13 +6,13 @@
 
 namespace deckhall {
 
-void WorkerClient::Ask(const std::string& endpoint, HttpCall call, Done done) {
+void WorkerClient::Ask(const std::string& endpoint, const HttpCall& call, Done done) {
   Endpoint to;
   if (!ParseEndpoint(endpoint, &to)) {
     spdlog::warn("worker address {} is not usable", endpoint);
     to = Endpoint{"0.0.0.0", 1};
   }
-  http_.Call(to, std::move(call), [endpoint, done = std::move(done)](const HttpResult& r) {
+  http_.Call(to, call, [endpoint, done = std::move(done)](const HttpResult& r) {
     WorkerAnswer answer;
     answer.sent = r.sent;
     if (r.status == 200 || r.status == 409) {
--- a/src/fleet/worker_client.h
+++ b/src/fleet/worker_client.h
@@ -15,7 +15,7 @@
   void Trim() { http_.Trim(30); }
 
  private:
-  void Ask(const std::string& endpoint, HttpCall call, Done done);
+  void Ask(const std::string& endpoint, const HttpCall& call, Done done);
   HttpClient http_;
 };
 
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -54,7 +54,7 @@
   return std::max(0.0, (s.cancel_s - s.lease_s) * 0.9 - 1.5);
 }
 
-Leader::Leader(LeaderPorts ports, const Settings* settings, const Tuning* tuning,
+Leader::Leader(const LeaderPorts& ports, const Settings* settings, const Tuning* tuning,
                const std::string& leader_key, uint64_t term)
     : ports_(ports),
       settings_(settings),
@@ -82,18 +82,18 @@
 
 void Leader::Load() {
   loading_ = true;
-  store_.Load([this](bool ok, std::vector<std::pair<RowId, std::string>> rows) {
+  store_.Load([this](bool ok, const std::vector<std::pair<RowId, std::string>>& rows) {
     loading_ = false;
     if (retired_) return;
     if (!ok) {
       load_after_ = ports_.clock->Now() + 0.2;
       return;
     }
-    Loaded(std::move(rows));
+    Loaded(rows);
   });
 }
 
-void Leader::Loaded(std::vector<std::pair<RowId, std::string>> rows) {
+void Leader::Loaded(const std::vector<std::pair<RowId, std::string>>& rows) {
   for (const auto& [id, text] : rows) {
     if (rentals_.LoadRow(id, text)) continue;
     if (!book_.LoadRow(id, text)) spdlog::error("a stored row is not understood: {}", text);
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -37,7 +37,7 @@
  public:
   using UserDone = std::function<void(UserReply)>;
 
-  Leader(LeaderPorts ports, const Settings* settings, const Tuning* tuning,
+  Leader(const LeaderPorts& ports, const Settings* settings, const Tuning* tuning,
          const std::string& leader_key, uint64_t term);
 
   void Begin();
@@ -65,7 +65,7 @@
   };
 
   void Load();
-  void Loaded(std::vector<std::pair<RowId, std::string>> rows);
+  void Loaded(const std::vector<std::pair<RowId, std::string>>& rows);
   void Submit(const UserAsk& ask, UserDone done);
   void Cancel(const UserAsk& ask, UserDone done);
   UserReply State(JobIdx j, int status) const;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -14,7 +14,7 @@
   later_.back()->Start(0.001);
 }
 
-void HttpClient::Call(const Endpoint& to, HttpCall call, Done done) {
+void HttpClient::Call(const Endpoint& to, const HttpCall& call, Done done) {
   const std::string peer = to.Text();
   auto& pool = idle_[peer];
   Conn* c = nullptr;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -38,7 +38,7 @@
         reaper_(loop, [this] { dropped_.clear(); }) {}
 
   // `done` is called once, from the loop, never from within Call.
-  void Call(const Endpoint& to, HttpCall call, Done done);
+  void Call(const Endpoint& to, const HttpCall& call, Done done);
   // Closes idle connections that were not used for a while.
   void Trim(double idle_s);
   size_t connections() const { return conns_.size(); }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -105,7 +105,7 @@
   c->busy = true;
   c->keep_alive = request.keep_alive;
   const uint64_t id = c->id;
-  handler_(std::move(request), [this, id](HttpAnswer answer) {
+  handler_(std::move(request), [this, id](const HttpAnswer& answer) {
     auto it = conns_.find(id);
     if (it == conns_.end() || !it->second->busy || it->second->closing) return;
     Answer(it->second.get(), answer);
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -23,7 +23,7 @@
 
 void RowStore::Load(Loaded done) { LoadFrom("", std::move(done)); }
 
-void RowStore::LoadFrom(std::string after, Loaded done) {
+void RowStore::LoadFrom(const std::string& after, Loaded done) {
   state_->List(kPrefix, after, [this, done = std::move(done)](const StateAnswer& answer) {
     if (answer.outcome != StateOutcome::kOk) {
       done(false, {});
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -73,7 +73,7 @@
   void Finished(const StateAnswer& answer);
   void Resolve();
   void ResolvePages(const std::string& after);
-  void LoadFrom(std::string after, Loaded done);
+  void LoadFrom(const std::string& after, Loaded done);
 
   StatePort* state_;
   const Clock* clock_;
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -26,7 +26,7 @@
         }
       }) {}
 
-void StateClient::Ask(HttpCall call, double reserve, Reader reader, Done done) {
+void StateClient::Ask(const HttpCall& call, double reserve, Reader reader, Done done) {
   if (!requests_.Take(clock_->Now(), 1, reserve)) {
     refused_.push_back(std::move(done));
     if (!refuse_.active()) refuse_.Start(0.02);
--- a/src/state/state_client.h
+++ b/src/state/state_client.h
@@ -25,7 +25,7 @@
 
  private:
   using Reader = std::function<void(const HttpResult&, StateAnswer*)>;
-  void Ask(HttpCall call, double reserve, Reader reader, Done done);
+  void Ask(const HttpCall& call, double reserve, Reader reader, Done done);
 
   const Clock* clock_;
   Endpoint at_;
