--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -12,8 +12,7 @@
 constexpr double kRelayTimeout = 1.5;
 constexpr double kSubmitRelayTimeout = 3.0;
 constexpr double kReportRelayTimeout = 2.0;
-constexpr double kRetiredFor = 15;   // longer than any request of a leader lasts
-constexpr double kIsolatedFor = 20;  // no leader and no peer: others serve better
+constexpr double kRetiredFor = 15;  // longer than any request of a leader lasts
 constexpr double kLogEvery = 60;
 
 uint64_t RandomInstance() {
@@ -32,7 +31,7 @@
 
 HttpServerLimits ServerLimits(const Settings& s) {
   HttpServerLimits l;
-  l.connections = static_cast<size_t>(std::max(40, s.max_sockets - 500));
+  l.connections = static_cast<size_t>(ServedConnections(s));
   return l;
 }
 
@@ -53,7 +52,7 @@
       instance_(RandomInstance()),
       state_(loop, &clock_, settings_.state, settings_.state_rps, settings_.state_write_rps),
       cloud_(loop, &clock_, settings_.cloud, settings_.cloud_rps),
-      workers_(loop),
+      workers_(loop, static_cast<size_t>(WorkerConnections(settings_))),
       election_(&state_, &clock_, ElectionOf(settings_, tuning_, instance_)),
       mesh_(loop, &clock_, settings_.label, instance_, settings_.mesh_addr, settings_.siblings,
             [this](Mesh::Body body, const Mesh::Reply& reply) { Served(std::move(body), reply); }),
@@ -62,9 +61,11 @@
               [this](Report r, Front::ReportDone d) { CheckIn(std::move(r), std::move(d)); },
               [this] { return Up(); }}),
       ticker_(loop, [this] { Tick(); }),
-      kick_(loop, [this] { Tick(); }) {
+      kick_(loop, [this] { Tick(); }),
+      health_(settings_.label) {
   election_.on_won = [this](uint64_t term) { Won(term); };
   election_.on_lost = [this] { Lost(); };
+  election_.on_known = [this](uint64_t bound) { mesh_.NoteTerm(bound); };
   mesh_.on_higher_term = [this](uint64_t term) {
     if (election_.holding() && term > election_.term()) {
       election_.Abdicate("a peer knows of a higher term");
@@ -73,8 +74,7 @@
   server_ = std::make_unique<HttpServer>(
       loop, settings_.serve_on, ServerLimits(settings_),
       [this](const HttpMessage& m, const HttpServer::Reply& r) { front_.Handle(m, r); });
-  started_ = clock_.Now();
-  next_log_ = started_ + kLogEvery;
+  next_log_ = clock_.Now() + kLogEvery;
   ticker_.Start(0, kTick);
   spdlog::info("{} up, instance {:x}", settings_.label, instance_);
 }
@@ -92,7 +92,7 @@
   mesh_.SetLeading(holding && election_.Trusted(), holding, election_.term());
   if (leader_) leader_->Tick();
   std::erase_if(retired_, [now](const Retired& r) { return now - r.since > kRetiredFor; });
-  if (!mesh_.Leader().empty()) leader_heard_ = now;
+  health_.Note(now, mesh_.Leader(), election_.Trusted(), mesh_.Silence());
   if (now >= next_log_) {
     next_log_ = now + kLogEvery;
     front_.LogLatency();
@@ -150,7 +150,15 @@
   }
   const std::string to = mesh_.Leader();
   if (to.empty() || to == settings_.label) {
-    done(ReportReply());
+    ReportReply reply;
+    // The way between controllers is shut, but the state service knows who leads:
+    // the worker may reach it.
+    const std::string& known = election_.leader_label();
+    if (known != settings_.label && mesh_.Refuses(known)) {
+      reply.status = 421;
+      reply.report_to = known;
+    }
+    done(reply);
     return;
   }
   mesh_.Ask(to, std::move(report), kReportRelayTimeout, [done = std::move(done)](Mesh::Body body) {
@@ -179,10 +187,6 @@
   }
 }
 
-bool Controller::Up() {
-  if (leader_heard_ < 0) return false;
-  const double now = clock_.Now();
-  return now - leader_heard_ < kIsolatedFor || mesh_.Silence() < kIsolatedFor;
-}
+bool Controller::Up() { return health_.Up(clock_.Now()); }
 
 }  // namespace deckhall
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "api/front.h"
+#include "app/health.h"
 #include "app/settings.h"
 #include "app/tuning.h"
 #include "cloud/cloud_client.h"
@@ -63,8 +64,7 @@
   std::unique_ptr<HttpServer> server_;
   Timer ticker_;
   Timer kick_;
-  double started_ = 0;
-  double leader_heard_ = -1;
+  Health health_;
   double next_log_ = 0;
 };
 
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -102,7 +102,8 @@
                  {state, "txn_ops", &ops},
                  {cloud, "rps", &s->cloud_rps},
                  {cloud, "list_lag_s", &s->cloud_lag_s},
-                 {quota, "max_sockets", &sockets}};
+                 {quota, "max_sockets", &sockets},
+                 {quota, "cores", &s->cores}};
   for (const auto& n : numbers) {
     bad = ReadPositive(n.in, n.name, n.to);
     if (!bad.empty()) return bad;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -1,6 +1,7 @@
 // What the platform and the operators hand over.
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -30,8 +31,18 @@
   double cloud_rps = 4;
   double cloud_lag_s = 8;
   int max_sockets = 1000;
+  double cores = 1;  // of the processor, for this process
 };
 
+// Sockets are shared out: most for whoever connects to us, some kept open to
+// workers, the rest for the state service, the cloud and the other controllers.
+inline int WorkerConnections(const Settings& s) { return s.max_sockets * 3 / 10; }
+inline int ServedConnections(const Settings& s) {
+  return std::max(40, s.max_sockets - WorkerConnections(s) - 120);
+}
+// Should all others be down, one controller is to hold every worker.
+inline int MostMachines(const Settings& s) { return ServedConnections(s); }
+
 // Returns the reason why the text is no settings file, or an empty string.
 std::string ReadSettings(const std::string& text, Settings* out);
 
--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -18,6 +18,7 @@
   double weight_urgent = 4;
   double weight_production = 8;
   double delay_fetches = 1;
+  double passed_over_s = 120;
   // fleet
   double silent_s = 5;
   double probe_s = 1;
@@ -25,6 +26,10 @@
   double lost_s = 6.5;
   double lost_behind_cut_s = 14;
   double takeover_wait_s = 6;
+  double deaf_s = 8;
+  double message_ms = 0.15;
+  double probe_share = 0.1;
+  double direct_share = 0.4;
   // capacity
   double plan_s = 1;
   double idle_spot_boots = 0.1;
@@ -34,6 +39,7 @@
   double headroom_free = 0.4;
   double headroom_machines = 1;
   double headroom_boots = 1;
+  double headroom_share = 0.05;
   double settled_s = 30;
   double consolidate_spare = 0.2;
   double late_boot = 1.8;
--- a/src/cloud/rentals.cc
+++ b/src/cloud/rentals.cc
@@ -101,6 +101,7 @@
     JsonNumber(doc, "w", &m.rented_wall);
     // Its address was durable before its first launch: without one it is empty.
     m.may_hold = !m.endpoint.empty();
+    m.listed = true;
     return true;
   }
   if (JsonString(doc, "r", &name)) {
@@ -124,6 +125,13 @@
 
 void Rentals::SetTypes(std::vector<MachineType> types) {
   types_ = std::move(types);
+  type_of_.clear();
+  for (const auto& t : types_) {
+    const uint32_t at = book_->types.Add(t.name);
+    if (at >= type_of_.size()) type_of_.resize(at + 1, nullptr);
+    type_of_[at] = &t;
+  }
+  fleet_->AllStale();
   std::vector<Pool> pools;
   for (const auto& t : types_) {
     for (const auto& z : t.zones) {
@@ -143,12 +151,7 @@
 }
 
 const MachineType* Rentals::TypeOf(uint32_t type) const {
-  if (type == kNone) return nullptr;
-  const std::string& name = book_->types[type];
-  for (const auto& t : types_) {
-    if (t.name == name) return &t;
-  }
-  return nullptr;
+  return type < type_of_.size() ? type_of_[type] : nullptr;
 }
 
 Pool* Rentals::PoolOf(const std::string& type, const std::string& zone, bool spot) {
@@ -187,6 +190,10 @@
 }
 
 void Rentals::Rent(uint32_t pool, int count, const std::string& why) {
+  if (count > kMostRented) {
+    Rent(pool, count - kMostRented, why);
+    count = kMostRented;
+  }
   const Pool& p = pools_[pool];
   auto intent = std::make_unique<Intent>();
   // The term in the name: no other leader can ever use it again.
@@ -194,7 +201,7 @@
   intent->type = book_->types[p.type];
   intent->zone = book_->zones[p.zone];
   intent->spot = p.spot;
-  intent->count = std::min(count, kMostRented);
+  intent->count = count;
   spdlog::info("renting {} {}{} in {} ({}): {}", intent->count, intent->type,
                p.spot ? " (spot)" : "", intent->zone, intent->request, why);
   const std::string text = IntentText(*intent);
@@ -243,6 +250,8 @@
       m.rented_wall = clock_->Wall();
     }
     if (!m.may_hold && !m.up) m.accounted = true;
+    m.listed = true;
+    m.stale = true;
     SaveMachine(mi, true);
   }
   store_->Remove(intent.row);
@@ -282,9 +291,8 @@
   m.spot = r.spot;
   m.endpoint = r.endpoint;
   m.rented_wall = clock_->Wall();
-  SaveMachine(mi, true);
-  spdlog::info("machine {} ({} in {}{}) reports and was not expected: used", r.machine, r.type,
-               r.zone, r.spot ? ", spot" : "");
+  spdlog::info("machine {} ({} in {}{}) reports and was not expected", r.machine, r.type, r.zone,
+               r.spot ? ", spot" : "");
   return mi;
 }
 
@@ -299,9 +307,10 @@
 void Rentals::SendReturns() {
   std::vector<std::string> names;
   std::vector<MachIdx> which;
-  for (MachIdx i = 0; i < fleet_->size() && names.size() < kMostReturned; ++i) {
+  for (MachIdx i : fleet_->active()) {
     const Machine& m = (*fleet_)[i];
-    if (!m.returning || m.gone) continue;
+    if (names.size() >= kMostReturned) break;
+    if (!m.returning) continue;
     names.push_back(m.name);
     which.push_back(i);
   }
@@ -363,8 +372,9 @@
         Return(mi, "failed, and not known here");
         continue;
       }
-      // A rental whose answer is still on its way names it soon.
-      if (Renting()) continue;
+      // A rental whose answer is still on its way names it soon; but on a large
+      // fleet there is always one.
+      if (Renting() && row.age_s < options_.list_lag_s * 3) continue;
       mi = fleet_->Add(row.name);
       Machine& m = (*fleet_)[mi];
       m.type = book_->types.Add(row.type);
@@ -372,6 +382,7 @@
       m.spot = row.spot;
       m.rented_wall = clock_->Wall() - row.age_s;
       m.endpoint = "";
+      m.listed = true;
       SaveMachine(mi, false);
       spdlog::info("machine {} ({} in {}) is listed and was not expected: used", row.name, row.type,
                    row.zone);
@@ -379,6 +390,7 @@
     }
     Machine& m = (*fleet_)[mi];
     if (m.gone || m.returning) continue;
+    m.listed = true;
     if (row.state == ListedState::kFailed) {
       fleet_->LoseAll(mi, "the machine failed");
       fleet_->Account(mi);
--- a/src/cloud/rentals.h
+++ b/src/cloud/rentals.h
@@ -86,6 +86,7 @@
   RentalOptions options_;
   std::vector<MachineType> types_;
   RowId types_row_ = kNoRow;
+  std::vector<const MachineType*> type_of_;  // by the book's name index
   std::vector<Pool> pools_;
   std::vector<std::unique_ptr<Intent>> intents_;
   uint64_t next_request_ = 1;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -49,25 +49,95 @@
   machines_.back().token = term_ << kTermShift;
   machines_.back().known_at = clock_->Now();
   index_[name] = m;
+  active_.push_back(m);
   return m;
 }
 
-double Fleet::UsedCores(const Machine& m) {
-  double sum = 0;
-  for (const Slot& s : m.slots) sum += s.gone ? 0 : s.cores;
-  return sum;
+void Fleet::Touch(MachIdx mi) {
+  if (machines_[mi].touched) return;
+  machines_[mi].touched = true;
+  touched_.push_back(mi);
 }
 
-double Fleet::UsedGpus(const Machine& m) {
-  double sum = 0;
-  for (const Slot& s : m.slots) sum += s.gone ? 0 : s.gpus;
-  return sum;
+bool Fleet::TakeTouched(MachIdx* m) {
+  if (touched_.empty()) return false;
+  *m = touched_.front();
+  touched_.pop_front();
+  machines_[*m].touched = false;
+  return true;
+}
+
+void Fleet::AllStale() {
+  for (MachIdx m : active_) machines_[m].stale = true;
+  changed = true;
+}
+
+void Fleet::Changed(MachIdx mi) {
+  machines_[mi].stale = true;
+  changed = true;
+  Touch(mi);
+}
+
+Slot& Fleet::AddSlot(MachIdx mi, Slot slot) {
+  Machine& m = machines_[mi];
+  if (slot.job != kNone) {
+    Job& job = (*book_)[slot.job];
+    slot.team = job.team;
+    slot.cores = job.spec.cores;
+    slot.gpus = job.spec.gpus;
+    slot.memory_gb = job.spec.memory_gb;
+    slot.service = job.spec.service;
+    slot.lodger = !job.spec.service && !job.spec.gang && job.spec.priority < Priority::kProduction;
+    ++job.slots;
+    job.on.push_back(mi);
+    if (slot.team >= team_use_.size()) team_use_.resize(slot.team + 1);
+    team_use_[slot.team].cores += slot.cores;
+    team_use_[slot.team].gpus += slot.gpus;
+  }
+  ++m.busy;
+  m.used_cores += slot.cores;
+  m.used_gpus += slot.gpus;
+  m.used_memory += slot.memory_gb;
+  if (slot.service) m.service_cores += slot.cores;
+  if (slot.lodger) m.lodger_cores += slot.cores;
+  m.slots.push_back(std::move(slot));
+  Changed(mi);
+  return m.slots.back();
 }
 
-double Fleet::UsedMemory(const Machine& m) {
-  double sum = 0;
-  for (const Slot& s : m.slots) sum += s.gone ? 0 : s.memory_gb;
-  return sum;
+void Fleet::Vacate(MachIdx mi, Slot* slot) {
+  Machine& m = machines_[mi];
+  if (slot->gone) return;
+  slot->gone = true;
+  --m.busy;
+  m.used_cores -= slot->cores;
+  m.used_gpus -= slot->gpus;
+  m.used_memory -= slot->memory_gb;
+  if (slot->service) m.service_cores -= slot->cores;
+  if (slot->lodger) m.lodger_cores -= slot->cores;
+  if (m.busy == 0) {
+    // Sums of decimal amounts end at nothing, not beside it.
+    m.used_cores = m.used_gpus = m.used_memory = m.service_cores = m.lodger_cores = 0;
+  }
+  if (slot->job != kNone) {
+    Job& job = (*book_)[slot->job];
+    auto it = std::find(job.on.begin(), job.on.end(), mi);
+    if (it != job.on.end()) {
+      *it = job.on.back();
+      job.on.pop_back();
+    }
+    team_use_[slot->team].cores -= slot->cores;
+    team_use_[slot->team].gpus -= slot->gpus;
+  }
+  Changed(mi);
+}
+
+void Fleet::EraseSlot(MachIdx mi, size_t at) {
+  Machine& m = machines_[mi];
+  Vacate(mi, &m.slots[at]);
+  if (m.slots[at].job != kNone) --(*book_)[m.slots[at].job].slots;
+  m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(at));
+  Changed(mi);
 }
 
 Slot* Fleet::FindSlot(Machine& m, const TaskReport& t) {
@@ -81,24 +151,44 @@
   Machine& m = machines_[mi];
   const double now = clock_->Now();
   // Reports and answers overtake each other; the larger (session, seq) is newer.
-  if (r.session < m.session || (r.session == m.session && r.seq <= m.seq)) return false;
+  if (r.session < m.session || (r.session == m.session && r.seq <= m.seq)) {
+    // A late copy, or the word of a worker that began anew under the old name. Only
+    // an answer to a question of ours tells them apart.
+    constexpr uint64_t kOvertaken = 16;
+    if (r.session < m.session || r.seq + kOvertaken < m.seq || r.token < m.seen_token) {
+      m.suspect = true;
+    }
+    return false;
+  }
   m.heard_at = now;
   m.probe_fails = 0;
   if (!m.up) {
     m.up = true;
     m.up_at = now;
-    changed = true;
+    Changed(mi);
+  }
+  if (r.session > m.session) {
+    if (!m.slots.empty()) LoseAll(mi, "a new session began there");
+    // Its lease ran out, so our answers may not reach it: reports alone are no proof
+    // that it hears. It gets nothing before it has shown a token younger than this.
+    ++m.token;
+    Changed(mi);
   }
-  if (r.session > m.session && !m.slots.empty()) LoseAll(mi, "a new session began there");
   m.session = r.session;
   m.seq = r.seq;
+  if (!Hears(m) && r.token >= m.token) {
+    m.hears_at = now;
+    m.failing_since = -1;
+    m.fails = 0;
+    Changed(mi);
+  }
   m.seen_token = std::max(m.seen_token, r.token);
   // A token of this term that we never gave out can only be a twin of ours from
   // a message that overtook; stay above it.
   if (TermOf(r.token) == term_ && r.token > m.token) m.token = r.token;
   if (r.notice_s && m.notice_until < 0) {
     m.notice_until = now + *r.notice_s;
-    changed = true;
+    Changed(mi);
     spdlog::info("machine {}: the cloud takes it in {} s", m.name, *r.notice_s);
   }
   if (!m.accounted) {
@@ -125,21 +215,63 @@
     if (slot.seen) {
       // Cleared, or lost there.
       if (!slot.gone) FreeTask(mi, slot);
-      m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(i));
-      changed = true;
+      EraseSlot(mi, i);
     } else if (slot.launch_token == 0 || slot.launch_token < r.token) {
       // Never sent, or the worker's higher token keeps that launch out for good.
       slot.launch_token = 0;
       if (!slot.keep) {
         FreeTask(mi, slot);
-        m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(i));
-        changed = true;
+        EraseSlot(mi, i);
+      } else {
+        Touch(mi);
       }
     }
   }
   return true;
 }
 
+void Fleet::Unheard(MachIdx mi) {
+  Machine& m = machines_[mi];
+  if (m.failing_since < 0) m.failing_since = clock_->Now();
+  ++m.fails;
+  m.stale = true;
+  if (m.fails < 2) return;
+  // What was never sent there can go elsewhere at once.
+  for (size_t i = m.slots.size(); i-- > 0;) {
+    const Slot& s = m.slots[i];
+    if (s.gone || s.seen || s.launch_token != 0) continue;
+    FreeTask(mi, s);
+    EraseSlot(mi, i);
+  }
+}
+
+void Fleet::BeganAnew(MachIdx mi, const Report& r) {
+  Machine& m = machines_[mi];
+  spdlog::info("machine {}: its worker began anew (session {}, number {})", m.name, r.session,
+               r.seq);
+  LoseAll(mi, "its worker began anew");
+  m.session = r.session;
+  m.seq = r.seq - 1;
+  m.seen_token = r.token;
+  // It forgot the tokens that shut out commands on their way to its predecessor.
+  ++m.token;
+  Changed(mi);
+}
+
+void Fleet::Answered(MachIdx mi, const Report& r, Stamp asked) {
+  Machine& m = machines_[mi];
+  m.hears_at = clock_->Now();
+  m.failing_since = -1;
+  m.fails = 0;
+  m.suspect = false;
+  m.probe_fails = 0;
+  // The worker we knew would have counted on from what we had seen before we asked.
+  const bool older =
+      r.session < asked.session || (r.session == asked.session && r.seq <= asked.seq);
+  if (older && r.seq > 0) BeganAnew(mi, r);
+  Process(mi, r);
+}
+
 void Fleet::RecountRunning(Slot* slot, bool now_running) {
   const bool before = slot->running_since >= 0;
   if (before == now_running || slot->job == kNone) return;
@@ -160,6 +292,7 @@
   if (slot->state != t.state) {
     spdlog::debug("{} on {} is in state {}", slot->name, m.name, static_cast<int>(t.state));
   }
+  if (slot->state != t.state) machines_[mi].stale = true;
   slot->state = t.state;
   if (slot->job != kNone && t.state != TaskState::kFetching && t.why != ExitWhy::kNoRoom &&
       t.why != ExitWhy::kInUse && t.why != ExitWhy::kUnknown) {
@@ -187,25 +320,22 @@
     const Job& job = (*book_)[j];
     slot.job = j;
     slot.task = task;
-    slot.team = job.team;
-    slot.cores = job.spec.cores;
-    slot.gpus = job.spec.gpus;
-    slot.memory_gb = job.spec.memory_gb;
     const TaskPhase phase = job.tasks[task].phase;
     const bool open = phase == TaskPhase::kUnseen || phase == TaskPhase::kWaiting;
     slot.keep = open && job.life == JobLife::kLive;
     // A task that ended as done is done wherever it was; the rest of the books
     // follow in Exited().
-    if (open) book_->Place(j, task, mi, t.attempt);
+    if (open) {
+      book_->Place(j, task, mi, t.attempt);
+      (*book_)[j].starved_since = clock_->Now();
+    }
   } else {
     slot.keep = false;
   }
   if (!slot.keep && t.state != TaskState::kExited) {
     spdlog::info("machine {}: {} (attempt {}) is not wanted there", m.name, t.task, t.attempt);
   }
-  m.slots.push_back(std::move(slot));
-  changed = true;
-  Apply(mi, &m.slots.back(), t);
+  Apply(mi, &AddSlot(mi, std::move(slot)), t);
 }
 
 void Fleet::FreeTask(MachIdx mi, const Slot& slot) {
@@ -222,8 +352,7 @@
 
 void Fleet::Exited(MachIdx mi, Slot* slot) {
   Machine& m = machines_[mi];
-  slot->gone = true;
-  changed = true;
+  Vacate(mi, slot);
   spdlog::debug("{} on {} exited, why {}", slot->name, m.name, static_cast<int>(slot->why));
   if (slot->job != kNone && (*book_)[slot->job].full) {
     Job& job = (*book_)[slot->job];
@@ -233,7 +362,7 @@
         // Done here while another attempt is wanted elsewhere: that one goes.
         for (Slot& other : machines_[t.machine].slots) {
           if (other.job == slot->job && other.task == slot->task && !other.gone) {
-            Unwant(&other, 0);
+            Unwant(t.machine, &other, 0);
           }
         }
       }
@@ -263,17 +392,15 @@
   slot.task = task;
   slot.attempt = attempt;
   slot.name = job.id + "/" + std::to_string(task);
-  slot.team = job.team;
-  slot.cores = job.spec.cores;
-  slot.gpus = job.spec.gpus;
-  slot.memory_gb = job.spec.memory_gb;
   slot.launched_at = clock_->Now();
   book_->Place(j, task, mi, slot.attempt);
+  (*book_)[j].starved_since = clock_->Now();
   spdlog::debug("{} goes to {} (attempt {})", slot.name, m.name, slot.attempt);
-  m.slots.push_back(std::move(slot));
+  AddSlot(mi, std::move(slot));
 }
 
-void Fleet::Unwant(Slot* slot, double grace_s) {
+void Fleet::Unwant(MachIdx mi, Slot* slot, double grace_s) {
+  Touch(mi);
   if (!slot->keep && grace_s >= slot->grace_s) return;
   if (!slot->keep) slot->stop_sent = -1e9;  // a shorter grace is told at once
   slot->keep = false;
@@ -281,9 +408,10 @@
 }
 
 void Fleet::UnwantJob(JobIdx j) {
-  for (Machine& m : machines_) {
-    for (Slot& s : m.slots) {
-      if (s.job == j && !s.gone) Unwant(&s, 0);
+  const std::vector<MachIdx> on = (*book_)[j].on;
+  for (MachIdx m : on) {
+    for (Slot& s : machines_[m].slots) {
+      if (s.job == j && !s.gone) Unwant(m, &s, 0);
     }
   }
 }
@@ -299,10 +427,10 @@
   const Machine& m = machines_[mi];
   if (m.seen_token < m.token) return true;
   const double now = clock_->Now();
+  // What ended takes no room: it is cleared with the next command or report.
   for (const Slot& s : m.slots) {
-    if (s.gone) {
-      if (MayForget(s)) return true;
-    } else if (!s.keep) {
+    if (s.gone) continue;
+    if (!s.keep) {
       if (!s.seen || now - s.stop_sent > kStopAgain) return true;
     } else if (!s.seen && launch) {
       return true;
@@ -321,8 +449,7 @@
     if (s.keep || s.seen) continue;
     if (s.launch_token == 0) {
       FreeTask(mi, s);
-      m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(i));
-      changed = true;
+      EraseSlot(mi, i);
     } else if (s.launch_token == m.token) {
       // Its launch may still come; a higher token shuts it out.
       ++m.token;
@@ -339,7 +466,8 @@
       s.stop_sent = now;
     }
   }
-  if (!launch) return out;
+  // A machine that has not shown that it hears gets nothing new.
+  if (!launch || !Hears(m)) return out;
   for (Slot& s : m.slots) {
     if (s.gone || !s.keep || s.seen) continue;
     out.push_back({CommandOp::kStart, s.name, s.attempt, 0});
@@ -352,19 +480,21 @@
   // Late commands die of the higher token. Without it a launch could come after
   // its attempt was cleared, and start once more.
   ++machines_[mi].token;
+  Changed(mi);
 }
 
 void Fleet::LoseAll(MachIdx mi, const char* why) {
   Machine& m = machines_[mi];
   size_t lost = 0;
-  for (const Slot& s : m.slots) {
-    if (s.gone) continue;
-    ++lost;
-    FreeTask(mi, s);
+  for (size_t i = m.slots.size(); i-- > 0;) {
+    if (!m.slots[i].gone) {
+      ++lost;
+      FreeTask(mi, m.slots[i]);
+    }
+    EraseSlot(mi, i);
   }
   if (lost > 0) spdlog::info("machine {}: {} tasks lost: {}", m.name, lost, why);
-  m.slots.clear();
-  changed = true;
+  Changed(mi);
 }
 
 void Fleet::MarkGone(MachIdx mi, const char* why) {
@@ -374,6 +504,7 @@
   Account(mi);
   m.gone = true;
   m.images.clear();
+  active_.erase(std::find(active_.begin(), active_.end(), mi));
   changed = true;
   spdlog::info("machine {} is gone: {}", m.name, why);
 }
@@ -382,14 +513,14 @@
   Machine& m = machines_[mi];
   if (m.accounted) return;
   m.accounted = true;
-  changed = true;
+  Changed(mi);
   if (m.may_hold) on_accounted();
 }
 
 uint32_t Fleet::Unaccounted() const {
-  return static_cast<uint32_t>(
-      std::count_if(machines_.begin(), machines_.end(),
-                    [](const Machine& m) { return m.may_hold && !m.accounted && !m.gone; }));
+  return static_cast<uint32_t>(std::count_if(active_.begin(), active_.end(), [this](MachIdx m) {
+    return machines_[m].may_hold && !machines_[m].accounted;
+  }));
 }
 
 bool Fleet::LeaseOver(const Machine& m, double now, double term_began) const {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -2,6 +2,7 @@
 // and the commands that make up the difference.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -23,6 +24,17 @@
 constexpr int kTermShift = 24;
 inline uint64_t TermOf(uint64_t token) { return token >> kTermShift; }
 
+// Session and number of a machine's message; a larger one is newer.
+struct Stamp {
+  uint64_t session = 0;
+  uint64_t seq = 0;
+};
+
+struct Use {
+  double cores = 0;
+  double gpus = 0;
+};
+
 class Fleet {
  public:
   Fleet(JobBook* book, const Clock* clock, uint64_t term, FleetOptions options);
@@ -32,16 +44,26 @@
   Machine& operator[](MachIdx m) { return machines_[m]; }
   const Machine& operator[](MachIdx m) const { return machines_[m]; }
   uint32_t size() const { return static_cast<uint32_t>(machines_.size()); }
+  // Those that are not gone, in the order they became known.
+  const std::vector<MachIdx>& active() const { return active_; }
 
   // Takes in a report or a command's answer. False when it is older than what is
   // known already.
   bool Process(MachIdx m, const Report& report);
+  // The same for an answer to a question asked when `asked` was the newest known:
+  // shows that the machine hears, and whether its worker began anew meanwhile.
+  void Answered(MachIdx m, const Report& report, Stamp asked);
+  Stamp StampOf(MachIdx m) const { return {machines_[m].session, machines_[m].seq}; }
+  // A question stayed unanswered.
+  void Unheard(MachIdx m);
+  // Has shown that it heard the token it would get commands with.
+  static bool Hears(const Machine& m) { return m.seen_token >= m.token; }
   // Puts a task there; the launch goes out with the next commands.
   void Place(MachIdx m, JobIdx job, uint32_t task, uint64_t attempt);
   // A number never used for an attempt before.
   uint64_t NewAttempt() { return next_attempt_++; }
   // Wants the slot gone.
-  void Unwant(Slot* slot, double grace_s);
+  void Unwant(MachIdx m, Slot* slot, double grace_s);
   void UnwantJob(JobIdx job);
   // What to tell the machine now. Launches only if `launch`.
   std::vector<Command> Commands(MachIdx m, bool launch);
@@ -58,9 +80,13 @@
   // The lease surely ran out: whatever was on it was killed by the worker.
   bool LeaseOver(const Machine& m, double now, double term_began) const;
 
-  static double UsedCores(const Machine& m);
-  static double UsedGpus(const Machine& m);
-  static double UsedMemory(const Machine& m);
+  // What the tasks of each team take, by the team's index.
+  const std::vector<Use>& team_use() const { return team_use_; }
+  // Machines about which something changed: each is handed out once.
+  bool TakeTouched(MachIdx* m);
+  void Touch(MachIdx m);
+  // The picture of every machine's room is out of date.
+  void AllStale();
 
   // A task ended; `slot.why` tells how. Called after the books were changed.
   std::function<void(MachIdx, const Slot&)> on_exit;
@@ -77,12 +103,21 @@
   void FreeTask(MachIdx m, const Slot& slot);
   void RecountRunning(Slot* slot, bool now_running);
   bool MayForget(const Slot& slot) const;
+  Slot& AddSlot(MachIdx m, Slot slot);
+  // The slot takes no room any more.
+  void Vacate(MachIdx m, Slot* slot);
+  void EraseSlot(MachIdx m, size_t at);
+  void Changed(MachIdx m);
+  void BeganAnew(MachIdx m, const Report& report);
 
   JobBook* book_;
   const Clock* clock_;
   uint64_t term_;
   FleetOptions options_;
   std::vector<Machine> machines_;
+  std::vector<MachIdx> active_;
+  std::deque<MachIdx> touched_;
+  std::vector<Use> team_use_;
   std::unordered_map<std::string, MachIdx> index_;
   uint64_t next_attempt_;
 };
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -70,9 +70,12 @@
   uint32_t klass = kNone;
   uint32_t zone = kNone;  // the only allowed zone
   double submitted_wall = 0;
-  double ended_at = -1;  // steady time at which it was done or cancelled
+  double ended_at = -1;     // steady time at which it was done or cancelled
+  std::vector<char> types;  // allowed machine types by index; empty: any
   std::vector<Task> tasks;
   std::vector<uint32_t> waiting;  // stack of waiting tasks
+  std::vector<uint32_t> on;       // machines its attempts take room on, one entry each
+  uint32_t slots = 0;             // all its attempts on machines, ended ones included
   uint32_t unseen = 0;
   uint32_t placed = 0;
   uint32_t done = 0;
@@ -94,6 +97,7 @@
   std::vector<uint32_t> failed_on;
   double backoff_until = 0;
   double waiting_since = 0;
+  double starved_since = 0;  // none of its tasks was placed since; see Ranking
 };
 
 // One attempt that is, may be, or was on a machine until it is cleared there.
@@ -114,6 +118,8 @@
   bool gone = false;  // exited; no longer takes room
   double launched_at = 0;
   double running_since = -1;
+  bool service = false;
+  bool lodger = false;  // an array's task that gives way to replicas
   // What it takes, and from whose limit.
   uint32_t team = kNone;
   double cores = 0;
@@ -142,7 +148,12 @@
   uint64_t seq = 0;
   uint64_t token = 0;  // the one to give commands with
   uint64_t seen_token = 0;
-  double known_at = 0;  // first heard of, in this term
+  bool listed = false;        // the state service, the cloud or a rental named it
+  double failing_since = -1;  // first question unanswered since it last showed that it hears
+  int fails = 0;              // such questions
+  double hears_at = -1e9;     // it last showed that it hears
+  bool suspect = false;       // said something that does not fit: ask it soon
+  double known_at = 0;        // first heard of, in this term
   double rented_wall = 0;
   double up_at = -1;
   double heard_at = -1e9;     // last report or answer
@@ -153,6 +164,7 @@
   int do_fails = 0;
   bool probing = false;
   int probe_fails = 0;
+  double probe_after = 0;
   double no_room_until = 0;
   double sick_until = 0;
   int sick_count = 0;
@@ -160,6 +172,15 @@
   double idle_since = -1;
   std::vector<uint32_t> images;  // likely cached
   std::vector<Slot> slots;
+  // Sums over the slots that take room.
+  uint32_t busy = 0;
+  double used_cores = 0;
+  double used_gpus = 0;
+  double used_memory = 0;
+  double service_cores = 0;
+  double lodger_cores = 0;
+  bool touched = false;  // waits to be looked at, see Fleet::TakeTouched
+  bool stale = true;     // the picture of its free room is out of date
 };
 
 }  // namespace deckhall
--- a/src/fleet/worker_client.h
+++ b/src/fleet/worker_client.h
@@ -8,7 +8,7 @@
 
 class WorkerClient : public WorkerPort {
  public:
-  explicit WorkerClient(Loop* loop) : http_(loop, 400, 1 << 20) {}
+  WorkerClient(Loop* loop, size_t connections) : http_(loop, connections, 1 << 20) {}
   void Do(const std::string& endpoint, uint64_t token, uint64_t session,
           const std::vector<Command>& commands, double timeout_s, Done done) override;
   void Inspect(const std::string& endpoint, double timeout_s, Done done) override;
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -59,11 +59,15 @@
     return;
   }
   if (!answer.found) {
+    // Whoever led before does no more: every term so far is at most the revision.
+    leader_label_.clear();
+    if (on_known) on_known(answer.number);
     stage_ = Stage::kGranting;
     Retry(0.03);
     return;
   }
   const KvRow& row = answer.rows[0];
+  if (on_known) on_known(row.version);
   rapidjson::Document doc;
   std::string label;
   uint64_t instance = 0;
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -34,7 +34,7 @@
   bool Trusted() const { return holding() && clock_->Now() < trusted_until_; }
   double trusted_until() const { return trusted_until_; }
   uint64_t term() const { return term_; }
-  // The holder last seen, which may be gone by now.
+  // The holder last seen, which may be gone by now; empty when there was none.
   const std::string& leader_label() const { return leader_label_; }
   uint64_t leader_term() const { return leader_term_; }
 
@@ -42,6 +42,8 @@
   void Abdicate(const char* why);
 
   std::function<void(uint64_t term)> on_won;
+  // The state service showed that no term above this one has begun yet.
+  std::function<void(uint64_t bound)> on_known;
   std::function<void()> on_lost;
 
  private:
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -9,10 +9,12 @@
 namespace {
 
 constexpr double kPageFill = 0.85;
-constexpr double kDoTimeout = 1.5;
-constexpr double kProbeTimeout = 0.7;
-// With more machines silent at once, the trouble is rather on the way or here.
-constexpr int kFewSilent = 2;
+// Passes are this far apart for each machine, so that their cost has a bound.
+constexpr double kPassGap = 0.02;
+constexpr double kPassGapPerMachine = 80e-6;
+constexpr double kPassGapMost = 0.2;
+constexpr int kLoadTries = 4;
+constexpr double kSweep = 0.25;
 constexpr size_t kMaxWaiters = 5000;
 constexpr size_t kMaxLiveTasks = 400000;
 constexpr size_t kMaxLiveJobs = 20000;
@@ -48,6 +50,10 @@
 
 }  // namespace
 
+double MessagesPerSecond(const Settings& s, const Tuning& t) {
+  return s.cores * 1000 / t.message_ms;
+}
+
 // A task whose cancellation another leader told of must be gone in cancel_s even
 // from a machine that only we still answered: hold and lease fit into it.
 double HoldSeconds(const Settings& s) {
@@ -64,7 +70,14 @@
       book_(&store_),
       fleet_(&book_, ports.clock, term, FleetOf(*settings)),
       rentals_(ports.cloud, &store_, &fleet_, &book_, ports.clock, term, RentalsOf(*settings)),
-      placer_(&book_, &fleet_, &rentals_, &store_, ports.clock, settings, tuning) {
+      rooms_(&book_, &fleet_, &rentals_, &store_, ports.clock, settings, tuning),
+      ranking_(&book_, &rooms_, ports.clock, tuning),
+      placer_(&book_, &fleet_, &rooms_, &ranking_, &rentals_, ports.clock, tuning),
+      planner_(&book_, &fleet_, &rooms_, &ranking_, &rentals_, ports.clock, settings, tuning),
+      direct_(MessagesPerSecond(*settings, *tuning) * tuning->direct_share,
+              std::max(20.0, MessagesPerSecond(*settings, *tuning) * tuning->direct_share / 4)),
+      probes_(MessagesPerSecond(*settings, *tuning) * tuning->probe_share,
+              std::max(20.0, MessagesPerSecond(*settings, *tuning) * tuning->probe_share * 2)) {
   for (const std::string& z : settings->zones) book_.zones.Add(z);
   for (const Team& t : settings->teams) book_.teams.Add(t.name);
   store_.on_commit = [this] { Committed(); };
@@ -89,6 +102,11 @@
       load_after_ = ports_.clock->Now() + 0.2;
       return;
     }
+    if (store_.unreadable() > 0 && ++load_tries_ < kLoadTries) {
+      // Perhaps it was only the answer.
+      load_after_ = ports_.clock->Now() + 0.2;
+      return;
+    }
     Loaded(rows);
   });
 }
@@ -99,11 +117,12 @@
     if (!book_.LoadRow(id, text)) spdlog::error("a stored row is not understood: {}", text);
   }
   const double now = ports_.clock->Now();
-  book_.FinishLoad(now);
+  book_.FinishLoad(now, ports_.clock->Wall());
   for (JobIdx j : book_.live()) {
     Job& job = book_[j];
-    job.left = job.saved_left >= 0 ? job.saved_left : placer_.WorkLeft(job);
+    job.left = job.saved_left >= 0 ? job.saved_left : ranking_.WorkLeft(job);
   }
+  for (MachIdx m : fleet_.active()) fleet_.Touch(m);
   loaded_ = release_ = true;
   next_save_ = now + tuning_->save_s;
   rentals_.Start();
@@ -162,10 +181,7 @@
       break;
   }
   if (j == kNone) {
-    UserReply r;
-    r.status = 404;
-    r.error = "no such job";
-    done(r);
+    done(Unknown());
   } else if (!book_[j].told) {
     done(Unavailable("being accepted"));
   } else {
@@ -173,6 +189,15 @@
   }
 }
 
+UserReply Leader::Unknown() const {
+  // What an unreadable page held may have been accepted: it can't be denied.
+  if (store_.unreadable() > 0) return Unavailable("a page of the state service can't be read");
+  UserReply r;
+  r.status = 404;
+  r.error = "no such job";
+  return r;
+}
+
 std::string Leader::NeverRuns(const JobSpec& spec) const {
   const Team* team = nullptr;
   for (const Team& t : settings_->teams) {
@@ -236,7 +261,11 @@
       return;
     }
     j = book_.Create(ask.job, ports_.clock->Wall());
-    placer_.Arrived(j);
+    Job& job = book_[j];
+    job.left = ranking_.WorkLeft(job);
+    job.waiting_since = job.starved_since = ports_.clock->Now();
+    if (job.spec.service) rooms_.ServiceArrived(job);
+    ranking_.JobsChanged();
   }
   waiters_.push_back({j, UserOp::kSubmit, std::move(done), 201, ports_.clock->Now()});
   store_.Pump();
@@ -245,10 +274,7 @@
 void Leader::Cancel(const UserAsk& ask, UserDone done) {
   const JobIdx j = book_.Find(ask.id);
   if (j == kNone) {
-    UserReply r;
-    r.status = 404;
-    r.error = "no such job";
-    done(r);
+    done(Unknown());
     return;
   }
   if (!book_[j].told) {
@@ -260,7 +286,7 @@
     // Its work is of no use from the moment its user asks.
     book_.End(j, JobLife::kCancelled, ports_.clock->Now());
     fleet_.UnwantJob(j);
-    placer_.JobsChanged();
+    ranking_.JobsChanged();
     fleet_.changed = true;
   }
   waiters_.push_back({j, UserOp::kCancel, std::move(done), 200, ports_.clock->Now()});
@@ -295,217 +321,6 @@
   }
 }
 
-ReportReply Leader::OnReport(const Report& r) {
-  ReportReply reply;
-  const double now = ports_.clock->Now();
-  if (TermOf(r.token) > term_) {
-    if (on_deposed) on_deposed("a worker has seen a higher token");
-    reply.status = 421;
-    return reply;
-  }
-  const bool trusted = ports_.lease->Trusted();
-  if (!loaded_ || (!trusted && now > HoldUntil())) return reply;
-  MachIdx mi = fleet_.Find(r.machine);
-  if (mi == kNone) {
-    if (!trusted) return reply;
-    mi = rentals_.Unexpected(r);
-  }
-  if (fleet_[mi].gone) return reply;
-  const bool fresh = fleet_.Process(mi, r);
-  Machine& m = fleet_[mi];
-  if (fresh && m.endpoint != r.endpoint) {
-    m.endpoint = r.endpoint;
-    rentals_.SaveMachine(mi, true);
-  }
-  reply.status = 200;
-  if (fresh && !m.do_busy && !m.returning) {
-    // Stops and clears need no lease; launches do.
-    reply.commands = fleet_.Commands(mi, trusted);
-  }
-  reply.token = m.token;
-  m.answered_at = now;
-  return reply;
-}
-
-void Leader::TaskEnded(MachIdx mi, const Slot& slot) {
-  Machine& m = fleet_[mi];
-  const double now = ports_.clock->Now();
-  if (slot.job == kNone) return;
-  Job& job = book_[slot.job];
-  switch (slot.why) {
-    case ExitWhy::kDone:
-      m.task_fails = 0;
-      m.sick_count = 0;
-      job.fail_streak = 0;
-      job.failed_on.clear();
-      if (slot.running_since >= 0) placer_.Observed(job, now - slot.running_since);
-      if (job.life != JobLife::kLive) placer_.JobsChanged();
-      break;
-    case ExitWhy::kNoRoom:
-      m.no_room_until = now + 2;
-      spdlog::info("machine {}: no room for {}", m.name, slot.name);
-      break;
-    case ExitWhy::kInUse:
-    case ExitWhy::kUnknown:
-      job.backoff_until = std::max(job.backoff_until, now + 1);
-      spdlog::info("machine {}: {} refused ({})", m.name, slot.name,
-                   slot.why == ExitWhy::kInUse ? "in use" : "unknown");
-      break;
-    case ExitWhy::kError: {
-      ++job.fail_streak;
-      const bool new_place =
-          std::find(job.failed_on.begin(), job.failed_on.end(), mi) == job.failed_on.end();
-      if (new_place) job.failed_on.push_back(mi);
-      if (job.failed_on.size() > 16) job.failed_on.erase(job.failed_on.begin());
-      // A job that fails wherever it goes says nothing about the machine.
-      if (job.failed_on.size() <= 2 && new_place) ++m.task_fails;
-      if (job.fail_streak >= 3) {
-        const double wait =
-            std::min(60.0, std::pow(2.0, std::min<uint32_t>(job.fail_streak, 9) - 3));
-        job.backoff_until = now + wait;
-      }
-      spdlog::info("machine {}: {} failed (job {} in a row, machine {})", m.name, slot.name,
-                   job.fail_streak, m.task_fails);
-      if (m.task_fails >= 2) {
-        m.task_fails = 0;
-        ++m.sick_count;
-        m.sick_until = now + 20.0 * m.sick_count;
-        spdlog::warn("machine {}: quarantined for {} s", m.name, 20 * m.sick_count);
-      }
-      break;
-    }
-    case ExitWhy::kPeers:
-    case ExitWhy::kIncomplete:
-      // No fault of this machine; the gang starts again as a whole.
-      job.backoff_until = std::max(job.backoff_until, now + 1);
-      break;
-    case ExitWhy::kStopped:
-    case ExitWhy::kNone:
-      break;
-  }
-}
-
-void Leader::ReleaseUnseen() {
-  // A task not seen anywhere is free once no machine is left that it could be on.
-  auto look = [this](const std::vector<JobIdx>& list) {
-    for (JobIdx j : list) {
-      Job& job = book_[j];
-      if (!job.full || job.unseen == 0) continue;
-      bool possible = false;
-      for (MachIdx mi = 0; mi < fleet_.size() && !possible; ++mi) {
-        const Machine& m = fleet_[mi];
-        possible = m.may_hold && !m.accounted && !m.gone && placer_.MayBeOn(job, m);
-      }
-      if (possible) continue;
-      for (uint32_t t = 0; t < job.tasks.size(); ++t) book_.SeenFree(j, t);
-      fleet_.changed = true;
-    }
-  };
-  look(book_.live());
-  look(book_.fading());
-}
-
-void Leader::Direct(MachIdx mi) {
-  Machine& m = fleet_[mi];
-  const double now = ports_.clock->Now();
-  if (m.do_busy || m.gone || m.returning || m.endpoint.empty() || now < m.do_after) return;
-  const bool greet = !m.accounted && (m.may_hold || m.up);
-  if (!greet && (!m.up || !fleet_.HasCommands(mi, true))) return;
-  std::vector<Command> commands = fleet_.Commands(mi, true);
-  if (commands.empty() && !greet && m.seen_token >= m.token) return;
-  m.do_busy = true;
-  ports_.workers->Do(m.endpoint, m.token, m.session, commands, kDoTimeout,
-                     [this, mi](const WorkerAnswer& answer) {
-                       if (!retired_) DirectDone(mi, answer);
-                     });
-}
-
-void Leader::DirectDone(MachIdx mi, const WorkerAnswer& answer) {
-  Machine& m = fleet_[mi];
-  const double now = ports_.clock->Now();
-  m.do_busy = false;
-  if (!answer.has_report) {
-    ++m.do_fails;
-    m.do_after = now + std::min(4.0, 0.25 * std::pow(2.0, std::min(m.do_fails, 6)));
-    if (answer.sent) fleet_.Unanswered(mi);
-    return;
-  }
-  if (TermOf(answer.report.token) > term_) {
-    if (on_deposed) on_deposed("a worker has seen a higher token");
-    return;
-  }
-  if (answer.report.machine != m.name) {
-    m.do_after = now + 4;
-    spdlog::warn("machine {}: another one answers at its address", m.name);
-    return;
-  }
-  m.do_fails = 0;
-  if (answer.status == 409) m.do_after = now + 0.2;
-  fleet_.Process(mi, answer.report);
-  Direct(mi);
-}
-
-void Leader::Watch(MachIdx mi) {
-  Machine& m = fleet_[mi];
-  const double now = ports_.clock->Now();
-  if (m.gone || m.returning) return;
-  const bool waited_for = m.may_hold && !m.accounted;
-  if (!m.up && !waited_for) return;
-  const double silent = now - std::max(m.heard_at, began_);
-  if (!m.slots.empty() && m.accounted && fleet_.LeaseOver(m, now, began_)) {
-    fleet_.LoseAll(mi, "its lease ran out");
-  }
-  if (waited_for && fleet_.LeaseOver(m, now, began_)) {
-    spdlog::info("machine {}: its lease under the former leader surely ran out", m.name);
-    fleet_.Account(mi);
-  }
-  const bool busy =
-      std::any_of(m.slots.begin(), m.slots.end(), [](const Slot& s) { return !s.gone; });
-  if (silent < (busy ? tuning_->probe_s : tuning_->silent_s)) return;
-  double limit = waited_for                      ? tuning_->takeover_wait_s
-                 : silent_machines_ > kFewSilent ? tuning_->lost_s
-                                                 : tuning_->quick_lost_s;
-  // Behind a cut its worker first has to find another node, and probes from here
-  // say nothing: returning it would kill what runs well.
-  if (m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone])) {
-    limit = std::max(limit, tuning_->lost_behind_cut_s);
-  }
-  if (silent > limit && m.probe_fails >= 2) {
-    // Returning it ends whatever it still holds: sooner than its lease would.
-    rentals_.Return(mi, "silent");
-    return;
-  }
-  if (m.probing || m.endpoint.empty()) return;
-  m.probing = true;
-  ports_.workers->Inspect(m.endpoint, kProbeTimeout, [this, mi](const WorkerAnswer& a) {
-    if (retired_) return;
-    Machine& machine = fleet_[mi];
-    machine.probing = false;
-    if (!a.has_report || a.report.machine != machine.name) {
-      ++machine.probe_fails;
-      return;
-    }
-    fleet_.Process(mi, a.report);
-  });
-}
-
-void Leader::Notice(MachIdx mi) {
-  Machine& m = fleet_[mi];
-  if (m.notice_until < 0 || m.gone) return;
-  const double left = m.notice_until - ports_.clock->Now();
-  for (Slot& s : m.slots) {
-    if (s.gone || !s.keep || s.job == kNone) continue;
-    const Job& job = book_[s.job];
-    if (job.spec.checkpoint_s > 0) {
-      // The notice may be half as long as it says.
-      fleet_.Unwant(&s, job.spec.save_s + 1);
-      continue;
-    }
-    const double ran = s.running_since < 0 ? 0 : ports_.clock->Now() - s.running_since;
-    if (job.spec.service || placer_.TaskSeconds(job) - ran > left) fleet_.Unwant(&s, 0);
-  }
-}
-
 void Leader::SaveProgress() {
   for (JobIdx j : book_.live()) {
     Job& job = book_[j];
@@ -525,12 +340,7 @@
   for (JobIdx j : fading) {
     Job& job = book_[j];
     if (now - job.ended_at < keep || job.unseen > 0 || !job.end_told) continue;
-    bool on = false;
-    for (MachIdx m = 0; m < fleet_.size() && !on; ++m) {
-      on = std::any_of(fleet_[m].slots.begin(), fleet_[m].slots.end(),
-                       [j](const Slot& s) { return s.job == j; });
-    }
-    if (!on) book_.Shrink(j);
+    if (job.slots == 0) book_.Shrink(j);
   }
 }
 
@@ -558,30 +368,27 @@
     return;
   }
   if (now >= next_watch_) {
-    next_watch_ = now + 0.25;
-    silent_machines_ = 0;
-    for (MachIdx m = 0; m < fleet_.size(); ++m) {
-      if (!fleet_[m].gone && !fleet_[m].returning && fleet_[m].probe_fails > 0) ++silent_machines_;
-    }
-    for (MachIdx m = 0; m < fleet_.size(); ++m) {
-      Watch(m);
-      Notice(m);
-    }
-    FadeJobs();
+    next_watch_ = now + kSweep;
+    Sweep();
   }
-  if (release_) {
+  if (release_ && now >= next_release_) {
     release_ = false;
+    next_release_ = now + 0.1;
     ReleaseUnseen();
   }
-  if (fleet_.changed || now >= next_pass_) {
+  // Changes are gathered for a moment, the longer the larger the fleet.
+  const auto machines = static_cast<double>(fleet_.active().size());
+  if ((fleet_.changed && now >= pass_after_) || now >= next_pass_) {
     fleet_.changed = false;
     next_pass_ = now + 0.5;
+    pass_after_ = now + std::min(kPassGapMost, kPassGap + kPassGapPerMachine * machines);
     placer_.Pass();
   }
-  for (MachIdx m = 0; m < fleet_.size(); ++m) Direct(m);
+  MachIdx touched = 0;
+  while (direct_.Level(now) >= 1 && fleet_.TakeTouched(&touched)) Direct(touched);
   if (now >= next_plan_) {
     next_plan_ = now + tuning_->plan_s;
-    placer_.Plan();
+    planner_.Plan();
   }
   rentals_.Tick(true);
   if (now >= next_save_) {
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -10,6 +10,8 @@
 #include "cloud/cloud_port.h"
 #include "fleet/worker_port.h"
 #include "leader/placer.h"
+#include "leader/planner.h"
+#include "net/token_bucket.h"
 
 namespace deckhall {
 
@@ -54,6 +56,10 @@
 
   JobBook& book() { return book_; }
   Fleet& fleet() { return fleet_; }
+  // Machines and nodes looked at so far, to bound the work as the fleet grows.
+  uint64_t steps() const { return rooms_.steps + looked_at_; }
+  // Reports and answers that did not fit what is known.
+  uint64_t odd() const { return odd_; }
 
  private:
   struct Waiter {
@@ -69,13 +75,20 @@
   void Submit(const UserAsk& ask, UserDone done);
   void Cancel(const UserAsk& ask, UserDone done);
   UserReply State(JobIdx j, int status) const;
+  UserReply Unknown() const;
   std::string NeverRuns(const JobSpec& spec) const;
   void Committed();
   void ReleaseUnseen();
   void TaskEnded(MachIdx m, const Slot& slot);
   void Direct(MachIdx m);
-  void DirectDone(MachIdx m, const WorkerAnswer& answer);
+  void DirectDone(MachIdx m, const WorkerAnswer& answer, Stamp asked);
+  void Sweep();
   void Watch(MachIdx m);
+  void Lost(MachIdx m);
+  void Probe(MachIdx m, bool urgent);
+  // False when what the machine says can't be: it then changes nothing.
+  bool Plausible(const Report& report);
+  void Odd(const std::string& machine, const char* why);
   void Notice(MachIdx m);
   void SaveProgress();
   void FadeJobs();
@@ -90,7 +103,12 @@
   JobBook book_;
   Fleet fleet_;
   Rentals rentals_;
+  Rooms rooms_;
+  Ranking ranking_;
   Placer placer_;
+  Planner planner_;
+  TokenBucket direct_;  // commands sent straight to workers
+  TokenBucket probes_;
   bool loaded_ = false;
   bool loading_ = false;
   bool retired_ = false;
@@ -100,11 +118,24 @@
   double next_plan_ = 0;
   double next_save_ = 0;
   double next_watch_ = 0;
-  int silent_machines_ = 0;
+  double pass_after_ = 0;
+  double next_release_ = 0;
+  double probe_every_ = 1;
+  double lost_at_ = -1e9;  // a machine was found lost
+  size_t silent_machines_ = 0;
+  size_t deaf_machines_ = 0;
+  size_t few_ = 2;  // so many may fail at once without the way being suspected
+  int load_tries_ = 0;
+  uint64_t looked_at_ = 0;
+  uint64_t odd_ = 0;
+  double odd_logged_at_ = -1e9;
   std::vector<Waiter> waiters_;
 };
 
 // How long a leader goes on answering reports after it last had its lease.
 double HoldSeconds(const Settings& settings);
 
+// Questions to workers that the processor share allows for in a second.
+double MessagesPerSecond(const Settings& settings, const Tuning& tuning);
+
 }  // namespace deckhall
--- /dev/null
+++ b/src/leader/leader_machines.cc
@@ -0,0 +1,352 @@
+// The leader and its machines: reports, commands, and who is still there.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "leader/leader.h"
+
+namespace deckhall {
+namespace {
+
+constexpr double kDoTimeout = 1.5;
+constexpr double kProbeTimeout = 0.7;
+// With a larger part of the fleet silent or deaf at once, the trouble is rather on
+// the way or here.
+constexpr double kFewOfFleet = 0.08;
+constexpr size_t kFewAtLeast = 2;
+
+// While machines are being lost, the others are asked after so much more often.
+constexpr double kAlarm = 3;
+constexpr double kAlarmFor = 3;
+
+}  // namespace
+
+void Leader::Odd(const std::string& machine, const char* why) {
+  ++odd_;
+  const double now = ports_.clock->Now();
+  if (now - odd_logged_at_ < 1) return;
+  odd_logged_at_ = now;
+  spdlog::warn("machine {}: {}; ignored ({} such messages so far)", machine, why, odd_);
+}
+
+bool Leader::Plausible(const Report& r) {
+  if (TermOf(r.token) > term_) {
+    // While our lease is trusted nobody can have begun a later term, so no
+    // controller gave that token. Without it, somebody may have.
+    if (ports_.lease->Trusted()) {
+      Odd(r.machine, "has a token that no controller gave");
+    } else if (on_deposed) {
+      on_deposed("a worker has seen a higher token");
+    }
+    return false;
+  }
+  const MachIdx mi = fleet_.Find(r.machine);
+  if (mi == kNone) return true;
+  const Machine& m = fleet_[mi];
+  if (m.type != kNone && (book_.types.Find(r.type) != m.type || m.spot != r.spot ||
+                          book_.zones.Find(r.zone) != m.zone)) {
+    Odd(r.machine, "says it is of another type, zone or kind");
+    return false;
+  }
+  return true;
+}
+
+ReportReply Leader::OnReport(const Report& r) {
+  ReportReply reply;
+  const double now = ports_.clock->Now();
+  if (!Plausible(r)) {
+    reply.status = 421;
+    return reply;
+  }
+  const bool trusted = ports_.lease->Trusted();
+  if (!loaded_ || (!trusted && now > HoldUntil())) return reply;
+  MachIdx mi = fleet_.Find(r.machine);
+  if (mi == kNone) {
+    if (!trusted) return reply;
+    mi = rentals_.Unexpected(r);
+  }
+  // A late copy from a machine that is gone.
+  if (fleet_[mi].gone) return reply;
+  const bool fresh = fleet_.Process(mi, r);
+  Machine& m = fleet_[mi];
+  reply.status = 200;
+  reply.token = m.token;
+  if (!fresh) {
+    // Overtaken by an answer to a command, or a late copy: it renews nothing here,
+    // and gets no commands.
+    if (m.suspect) Odd(r.machine, "sent an old report");
+    return reply;
+  }
+  if (m.endpoint != r.endpoint) {
+    m.endpoint = r.endpoint;
+    if (m.row != kNoRow || m.listed) rentals_.SaveMachine(mi, true);
+  }
+  // Nobody named it before: kept once it has shown that it hears us. A late copy's
+  // ghost never does.
+  if (m.row == kNoRow && m.accounted && Fleet::Hears(m)) rentals_.SaveMachine(mi, true);
+  if (!m.do_busy && !m.returning) {
+    // Stops and clears need no lease; launches do.
+    reply.commands = fleet_.Commands(mi, trusted);
+    reply.token = m.token;
+  }
+  m.answered_at = now;
+  return reply;
+}
+
+void Leader::TaskEnded(MachIdx mi, const Slot& slot) {
+  Machine& m = fleet_[mi];
+  const double now = ports_.clock->Now();
+  if (slot.job == kNone) return;
+  Job& job = book_[slot.job];
+  switch (slot.why) {
+    case ExitWhy::kDone:
+      m.task_fails = 0;
+      m.sick_count = 0;
+      job.fail_streak = 0;
+      job.failed_on.clear();
+      if (slot.running_since >= 0) ranking_.Observed(job, now - slot.running_since);
+      if (job.life != JobLife::kLive) ranking_.JobsChanged();
+      break;
+    case ExitWhy::kNoRoom:
+      m.no_room_until = now + 2;
+      spdlog::info("machine {}: no room for {}", m.name, slot.name);
+      break;
+    case ExitWhy::kInUse:
+    case ExitWhy::kUnknown:
+      job.backoff_until = std::max(job.backoff_until, now + 1);
+      spdlog::info("machine {}: {} refused ({})", m.name, slot.name,
+                   slot.why == ExitWhy::kInUse ? "in use" : "unknown");
+      break;
+    case ExitWhy::kError: {
+      ++job.fail_streak;
+      const bool new_place =
+          std::find(job.failed_on.begin(), job.failed_on.end(), mi) == job.failed_on.end();
+      if (new_place) job.failed_on.push_back(mi);
+      if (job.failed_on.size() > 16) job.failed_on.erase(job.failed_on.begin());
+      // A job that fails wherever it goes says nothing about the machine.
+      if (job.failed_on.size() <= 2 && new_place) ++m.task_fails;
+      if (job.fail_streak >= 3) {
+        const double wait =
+            std::min(60.0, std::pow(2.0, std::min<uint32_t>(job.fail_streak, 9) - 3));
+        job.backoff_until = now + wait;
+      }
+      spdlog::info("machine {}: {} failed (job {} in a row, machine {})", m.name, slot.name,
+                   job.fail_streak, m.task_fails);
+      if (m.task_fails >= 2) {
+        m.task_fails = 0;
+        ++m.sick_count;
+        m.sick_until = now + 20.0 * m.sick_count;
+        spdlog::warn("machine {}: quarantined for {} s", m.name, 20 * m.sick_count);
+      }
+      break;
+    }
+    case ExitWhy::kPeers:
+    case ExitWhy::kIncomplete:
+      // No fault of this machine; the gang starts again as a whole.
+      job.backoff_until = std::max(job.backoff_until, now + 1);
+      break;
+    case ExitWhy::kStopped:
+    case ExitWhy::kNone:
+      break;
+  }
+}
+
+void Leader::ReleaseUnseen() {
+  // A task not seen anywhere is free once no machine is left that it could be on.
+  // Machines of one type, zone and kind are alike in this.
+  std::vector<MachIdx> kinds;
+  for (MachIdx mi : fleet_.active()) {
+    const Machine& m = fleet_[mi];
+    if (!m.may_hold || m.accounted) continue;
+    const bool known = std::any_of(kinds.begin(), kinds.end(), [this, &m](MachIdx k) {
+      return fleet_[k].type == m.type && fleet_[k].zone == m.zone && fleet_[k].spot == m.spot;
+    });
+    if (!known) kinds.push_back(mi);
+  }
+  auto look = [this, &kinds](const std::vector<JobIdx>& list) {
+    for (JobIdx j : list) {
+      Job& job = book_[j];
+      if (!job.full || job.unseen == 0) continue;
+      const bool possible = std::any_of(kinds.begin(), kinds.end(), [this, &job](MachIdx k) {
+        return Rooms::MayBeOn(job, fleet_[k]);
+      });
+      if (possible) continue;
+      for (uint32_t t = 0; t < job.tasks.size(); ++t) book_.SeenFree(j, t);
+      fleet_.changed = true;
+    }
+  };
+  look(book_.live());
+  look(book_.fading());
+}
+
+void Leader::Direct(MachIdx mi) {
+  Machine& m = fleet_[mi];
+  ++looked_at_;
+  const double now = ports_.clock->Now();
+  if (m.do_busy || m.gone || m.returning || m.endpoint.empty() || now < m.do_after) return;
+  const bool greet = !m.accounted && (m.may_hold || m.up);
+  if (!greet && (!m.up || !fleet_.HasCommands(mi, true))) return;
+  std::vector<Command> commands = fleet_.Commands(mi, true);
+  if (commands.empty() && !greet && Fleet::Hears(m)) return;
+  m.do_busy = true;
+  direct_.Take(now, 1, -1e9);
+  const Stamp asked = fleet_.StampOf(mi);
+  ports_.workers->Do(m.endpoint, m.token, m.session, commands, kDoTimeout,
+                     [this, mi, asked](const WorkerAnswer& answer) {
+                       if (!retired_) DirectDone(mi, answer, asked);
+                     });
+}
+
+void Leader::DirectDone(MachIdx mi, const WorkerAnswer& answer, Stamp asked) {
+  Machine& m = fleet_[mi];
+  const double now = ports_.clock->Now();
+  m.do_busy = false;
+  if (m.gone) return;
+  const bool named = answer.has_report && answer.report.machine == m.name;
+  if (!named) {
+    ++m.do_fails;
+    m.do_after = now + std::min(4.0, 0.25 * std::pow(2.0, std::min(m.do_fails, 6)));
+    fleet_.Unheard(mi);
+    if (answer.has_report) Odd(m.name, "is not who answers at its address");
+    if (answer.sent) fleet_.Unanswered(mi);
+    return;
+  }
+  if (!Plausible(answer.report)) {
+    // Given up on when it stays so.
+    m.do_after = now + 4;
+    fleet_.Unheard(mi);
+    return;
+  }
+  m.do_fails = 0;
+  if (answer.status == 409) m.do_after = now + 0.2;
+  fleet_.Answered(mi, answer.report, asked);
+  if (m.row == kNoRow && m.accounted) rentals_.SaveMachine(mi, true);
+  Direct(mi);
+}
+
+void Leader::Probe(MachIdx mi, bool urgent) {
+  Machine& m = fleet_[mi];
+  const double now = ports_.clock->Now();
+  if (m.probing || m.do_busy || m.endpoint.empty() || now < m.probe_after) return;
+  // Half of the budget is kept for machines that are overdue.
+  const double reserve =
+      urgent ? 0 : MessagesPerSecond(*settings_, *tuning_) * tuning_->probe_share;
+  if (!probes_.Take(now, 1, reserve)) return;
+  m.probing = true;
+  const Stamp asked = fleet_.StampOf(mi);
+  ports_.workers->Inspect(m.endpoint, kProbeTimeout, [this, mi, asked](const WorkerAnswer& a) {
+    if (retired_) return;
+    Machine& machine = fleet_[mi];
+    machine.probing = false;
+    if (machine.gone) return;
+    if (!a.has_report || a.report.machine != machine.name || !Plausible(a.report)) {
+      ++machine.probe_fails;
+      machine.probe_after = ports_.clock->Now() + std::min(2.0, 0.1 * machine.fails);
+      fleet_.Unheard(mi);
+      return;
+    }
+    fleet_.Answered(mi, a.report, asked);
+  });
+}
+
+void Leader::Lost(MachIdx mi) {
+  Machine& m = fleet_[mi];
+  const double now = ports_.clock->Now();
+  const bool waited_for = m.may_hold && !m.accounted;
+  const double silent = now - std::max(m.heard_at, began_);
+  double limit = waited_for                ? tuning_->takeover_wait_s
+                 : silent_machines_ > few_ ? tuning_->lost_s
+                                           : tuning_->quick_lost_s;
+  // Behind a cut its worker first has to find another node, and probes from here
+  // say nothing: returning it would kill what runs well.
+  const bool behind_cut =
+      m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone]);
+  if (behind_cut) limit = std::max(limit, tuning_->lost_behind_cut_s);
+  if (silent > limit && m.probe_fails >= 2) {
+    // Returning it ends whatever it still holds: sooner than its lease would.
+    rentals_.Return(mi, "silent");
+    lost_at_ = now;
+    return;
+  }
+  // It reports, but nothing of ours reaches it: its tasks would die with its lease.
+  // Many such at once are rather a fault of the way, or of ourselves.
+  limit = behind_cut ? std::max(tuning_->deaf_s, tuning_->lost_behind_cut_s) : tuning_->deaf_s;
+  if (m.failing_since >= 0 && m.fails >= 3 && now - m.failing_since > limit &&
+      m.heard_at > m.failing_since && deaf_machines_ <= few_) {
+    rentals_.Return(mi, "deaf: it reports, but nothing reaches it");
+  }
+}
+
+void Leader::Watch(MachIdx mi) {
+  Machine& m = fleet_[mi];
+  const double now = ports_.clock->Now();
+  const bool waited_for = m.may_hold && !m.accounted;
+  if (!m.up && !waited_for) return;
+  // Also while its return waits for the cloud.
+  if (!m.slots.empty() && m.accounted && fleet_.LeaseOver(m, now, began_)) {
+    fleet_.LoseAll(mi, "its lease ran out");
+  }
+  if (waited_for && fleet_.LeaseOver(m, now, began_)) {
+    spdlog::info("machine {}: its lease under the former leader surely ran out", m.name);
+    fleet_.Account(mi);
+  }
+  if (m.returning) return;
+  // What is wanted there and could not be told, or must be told again.
+  if (now >= m.do_after && (!m.accounted || fleet_.HasCommands(mi, true))) fleet_.Touch(mi);
+  const double silent = now - std::max(m.heard_at, began_);
+  const double overdue = settings_->report_s * 1.3 + 0.5;
+  const double often = m.busy > 0 ? probe_every_ : std::max(tuning_->silent_s, overdue);
+  const bool urgent = m.suspect || m.failing_since >= 0 || silent > overdue;
+  // Reports alone don't show that it hears. Asked in time, it can be given up before
+  // its lease ends what runs there.
+  const bool unproven = m.busy > 0 && now - m.hears_at > settings_->lease_s / 3;
+  if (!urgent && !unproven && silent < std::min(often, overdue)) return;
+  Lost(mi);
+  if (!m.returning) Probe(mi, urgent);
+}
+
+void Leader::Sweep() {
+  const double now = ports_.clock->Now();
+  size_t up = 0;
+  size_t busy = 0;
+  silent_machines_ = deaf_machines_ = 0;
+  for (MachIdx mi : fleet_.active()) {
+    const Machine& m = fleet_[mi];
+    if (m.returning || !m.up) continue;
+    ++up;
+    if (m.busy > 0) ++busy;
+    if (m.probe_fails > 0) ++silent_machines_;
+    if (m.failing_since >= 0 && m.fails >= 2) ++deaf_machines_;
+  }
+  looked_at_ += fleet_.active().size();
+  few_ = std::max(kFewAtLeast, static_cast<size_t>(static_cast<double>(up) * kFewOfFleet));
+  // As often as the budget allows, and rather while machines are being lost.
+  const double rate = MessagesPerSecond(*settings_, *tuning_) * tuning_->probe_share;
+  probe_every_ = static_cast<double>(busy) / rate;
+  if (now - lost_at_ < kAlarmFor) probe_every_ /= kAlarm;
+  probe_every_ = std::max(tuning_->probe_s, probe_every_);
+  for (MachIdx mi : fleet_.active()) {
+    Watch(mi);
+    if (fleet_[mi].notice_until >= 0) Notice(mi);
+  }
+  FadeJobs();
+}
+
+void Leader::Notice(MachIdx mi) {
+  Machine& m = fleet_[mi];
+  const double left = m.notice_until - ports_.clock->Now();
+  for (Slot& s : m.slots) {
+    if (s.gone || !s.keep || s.job == kNone) continue;
+    const Job& job = book_[s.job];
+    if (job.spec.checkpoint_s > 0) {
+      // The notice may be half as long as it says.
+      fleet_.Unwant(mi, &s, job.spec.save_s + 1);
+      continue;
+    }
+    const double ran = s.running_since < 0 ? 0 : ports_.clock->Now() - s.running_since;
+    if (job.spec.service || ranking_.TaskSeconds(job) - ran > left) fleet_.Unwant(mi, &s, 0);
+  }
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/planner.cc
@@ -0,0 +1,355 @@
+#include "leader/planner.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace deckhall {
+namespace {
+
+constexpr double kEps = 1e-6;
+// Of so many machines one may be emptied at a time.
+constexpr size_t kOneEmptiedOf = 64;
+// Waiting work below this part of the capacity is the ordinary coming and going.
+constexpr double kLittleWaits = 0.01;
+
+bool SameNeed(const Need& a, const Need& b) {
+  auto types = [](const Need& n) { return n.types == nullptr ? std::vector<char>() : *n.types; };
+  return a.cores == b.cores && a.memory_gb == b.memory_gb && a.gpus == b.gpus && a.zone == b.zone &&
+         a.spot_ok == b.spot_ok && types(a) == types(b);
+}
+
+// Jobs by the hundred have few different needs: the plan's work grows with those.
+void AddWant(std::vector<Want>* wants, size_t from, const Need& need, uint32_t count) {
+  for (size_t i = from; i < wants->size(); ++i) {
+    if (!SameNeed((*wants)[i].need, need)) continue;
+    (*wants)[i].count += count;
+    return;
+  }
+  Want w;
+  w.need = need;
+  w.count = count;
+  wants->push_back(w);
+}
+
+}  // namespace
+
+Planner::Planner(JobBook* book, Fleet* fleet, Rooms* rooms, const Ranking* ranking,
+                 Rentals* rentals, const Clock* clock, const Settings* settings,
+                 const Tuning* tuning)
+    : book_(book),
+      fleet_(fleet),
+      rooms_(rooms),
+      ranking_(ranking),
+      rentals_(rentals),
+      clock_(clock),
+      settings_(settings),
+      tuning_(tuning) {}
+
+void Planner::Plan() {
+  if (!rentals_->types_known()) return;
+  rooms_->Refresh();
+  Rent();
+  ReturnIdle();
+  Consolidate();
+}
+
+// What can be rented, and the room that is there or on its way.
+std::vector<Offer> Planner::Offers(std::vector<Node>* bins, int* machines) const {
+  const double now = clock_->Now();
+  const double wall = clock_->Wall();
+  std::vector<Offer> offers;
+  for (size_t p = 0; p < rentals_->pools().size(); ++p) {
+    const Pool& pool = rentals_->pools()[p];
+    const MachineType* type = rentals_->TypeOf(pool.type);
+    Offer o;
+    o.type = pool.type;
+    o.zone = pool.zone;
+    o.spot = pool.spot;
+    if (type != nullptr) {
+      o.cores = type->cores;
+      o.gpus = type->gpus;
+      o.memory_gb = type->memory_gb;
+      o.price = pool.spot ? type->spot_price : type->price;
+      o.boot_s = type->boot_s;
+    }
+    o.refused = type == nullptr || now < pool.refused_until;
+    const int pending = rentals_->Pending(static_cast<uint32_t>(p));
+    o.existing = pending;
+    // Machines asked for count as if they were booting.
+    for (int i = 0; i < pending; ++i) {
+      Node n;
+      n.type = o.type;
+      n.zone = o.zone;
+      n.spot = o.spot;
+      n.usable = true;
+      n.cores = o.cores;
+      n.gpus = o.gpus;
+      n.memory_gb = o.memory_gb;
+      bins->push_back(n);
+      ++*machines;
+    }
+    offers.push_back(o);
+  }
+  for (MachIdx mi : fleet_->active()) {
+    const Machine& m = (*fleet_)[mi];
+    if (m.returning) continue;
+    // A machine nobody named may be a late copy's ghost: it counts when it hears.
+    if (!m.listed && !m.may_hold && !(m.accounted && Fleet::Hears(m))) continue;
+    ++*machines;
+    for (Offer& o : offers) {
+      if (o.type == m.type && o.zone == m.zone && o.spot == m.spot) ++o.existing;
+    }
+    const Node& room = rooms_->nodes()[mi];
+    if (room.cores <= kEps) continue;
+    bool usable = room.usable;
+    if (!m.up) {
+      const MachineType* type = rentals_->TypeOf(m.type);
+      usable = type != nullptr && wall - m.rented_wall < type->boot_s * tuning_->late_boot + 5;
+    } else if (!usable) {
+      usable = !m.drain && m.notice_until < 0 && now >= m.sick_until && m.fails < 2 &&
+               now - m.heard_at < std::max(tuning_->silent_s, settings_->report_s * 1.6);
+    }
+    if (!usable) continue;
+    Node n;
+    n.machine = mi;
+    n.type = room.type;
+    n.zone = room.zone;
+    n.spot = room.spot;
+    n.usable = true;
+    n.cores = room.cores;
+    n.gpus = room.gpus;
+    n.memory_gb = room.memory_gb;
+    bins->push_back(n);
+  }
+  return offers;
+}
+
+std::vector<Want> Planner::Wants(double* waiting) {
+  const double now = clock_->Now();
+  std::vector<Want> wants;
+  static const std::vector<char> kAnyZone;
+  static const std::vector<uint32_t> kNowhere;
+  auto need_of = [this](const Job& job) {
+    Need n = rooms_->NeedOf(job, kAnyZone, kNowhere);
+    n.avoid = nullptr;
+    return n;
+  };
+  // What each team may still use.
+  std::vector<double> room(book_->teams.size());
+  for (uint32_t t = 0; t < room.size(); ++t) room[t] = rooms_->TeamLeft(t);
+  auto within_limit = [&room](const Job& job, uint32_t count) {
+    double& r = room[job.team];
+    if (job.spec.cores > 0) {
+      count = std::min<uint32_t>(
+          count, static_cast<uint32_t>(std::max(0.0, std::floor(r / job.spec.cores + kEps))));
+    }
+    r -= count * job.spec.cores;
+    return count;
+  };
+  for (JobIdx j : book_->live()) {
+    const Job& job = (*book_)[j];
+    if (!job.spec.service || job.waiting.empty()) continue;
+    const uint32_t n = within_limit(job, static_cast<uint32_t>(job.waiting.size()));
+    if (n > 0) AddWant(&wants, 0, need_of(job), n);
+  }
+  double lent = 0;  // kept room that arrays may use meanwhile
+  const double headroom = rooms_->headroom();
+  if (rooms_->unit_cores() > 0) {
+    Need need;
+    need.cores = rooms_->unit_cores();
+    need.memory_gb = rooms_->unit_memory();
+    // Arrays on ordinary machines give way: their room counts as kept.
+    const double open = std::max(0.0, headroom - rooms_->lodgers());
+    lent = std::max(0.0, open - headroom * tuning_->headroom_free);
+    const auto count = static_cast<uint32_t>(std::ceil(open / rooms_->unit_cores()));
+    if (count > 0) AddWant(&wants, wants.size(), need, count);
+  }
+  // Arrays: enough to work off what waits in the time the operator set.
+  auto waits = [this, now](const Job& job) {
+    return job.life == JobLife::kLive && !job.waiting.empty() && now >= job.backoff_until &&
+           job.fail_streak < 3;
+  };
+  double backlog = 0;
+  for (JobIdx j : ranking_->order()) {
+    const Job& job = (*book_)[j];
+    if (!waits(job) || job.spec.gang) continue;
+    const double cores = job.spec.cores * static_cast<double>(job.waiting.size());
+    *waiting += cores;
+    backlog += cores * ranking_->TaskSeconds(job);
+  }
+  size_t from = wants.size();
+  for (JobIdx j : ranking_->order()) {
+    // A gang needs room for all its tasks at once.
+    const Job& job = (*book_)[j];
+    if (!job.spec.gang || !waits(job) || job.waiting.size() < job.tasks.size()) continue;
+    const auto n = static_cast<uint32_t>(job.waiting.size());
+    if (within_limit(job, n) == n) AddWant(&wants, from, need_of(job), n);
+  }
+  from = wants.size();
+  double left = std::min(*waiting, backlog / tuning_->drain_s) - lent;
+  for (JobIdx j : ranking_->order()) {
+    const Job& job = (*book_)[j];
+    if (left <= 0) break;
+    if (!waits(job) || job.spec.gang) continue;
+    const double per = std::max(job.spec.cores, 0.1);
+    auto n = static_cast<uint32_t>(
+        std::min<double>(static_cast<double>(job.waiting.size()), std::ceil(left / per)));
+    n = within_limit(job, n);
+    if (n == 0) continue;
+    left -= n * per;
+    AddWant(&wants, from, need_of(job), n);
+  }
+  return wants;
+}
+
+void Planner::Rent() {
+  std::vector<Node> bins;
+  int machines = 0;
+  const std::vector<Offer> offers = Offers(&bins, &machines);
+  double waiting = 0;
+  const std::vector<Want> wants = Wants(&waiting);
+  const int most = std::max(0, MostMachines(*settings_) - machines);
+  for (const Rental& r : PlanRentals(offers, std::move(bins), wants, most)) {
+    char why[160];
+    std::snprintf(why, sizeof why, "%.0f cores of arrays wait, %.0f kept for replicas", waiting,
+                  rooms_->headroom());
+    rentals_->Rent(r.offer, r.count, why);
+  }
+}
+
+// As services end, the rest of them is spread thinly over ordinary machines. The
+// emptiest ones are emptied, a replica at a time, each to where its image is.
+void Planner::Consolidate() {
+  const double now = clock_->Now();
+  bool waits = fleet_->Unaccounted() > 0 || rentals_->Renting();
+  double waiting = 0;
+  for (JobIdx j : book_->live()) {
+    const Job& job = (*book_)[j];
+    waits = waits || (job.spec.service && !job.waiting.empty());
+    waiting += job.spec.cores * static_cast<double>(job.waiting.size());
+  }
+  waits = waits || waiting > kLittleWaits * rooms_->capacity();
+  const size_t most = 1 + fleet_->active().size() / kOneEmptiedOf;
+  std::vector<MachIdx> emptying;
+  std::vector<std::pair<double, MachIdx>> thin;
+  for (MachIdx mi : fleet_->active()) {
+    const Machine& m = (*fleet_)[mi];
+    if (m.returning) continue;
+    if (m.emptying) {
+      emptying.push_back(mi);
+      continue;
+    }
+    if (m.spot || !rooms_->nodes()[mi].usable || now - m.up_at <= tuning_->settled_s) continue;
+    const bool settled = std::all_of(m.slots.begin(), m.slots.end(), [this, now](const Slot& s) {
+      return s.gone || (s.keep && s.job != kNone && s.state == TaskState::kRunning &&
+                        now - s.launched_at > tuning_->settled_s);
+    });
+    if (settled) thin.emplace_back(m.used_cores, mi);
+  }
+  for (MachIdx mi : emptying) {
+    Machine& m = (*fleet_)[mi];
+    if (waits && now - m.emptying_since > 3 && now - m.moved_at > 3) {
+      // Its room is needed after all.
+      m.emptying = m.drain = false;
+    } else if (!waits && now - m.moved_at > 0.5) {
+      MoveOne(mi);
+    }
+  }
+  if (waits) return;
+  std::sort(thin.begin(), thin.end());
+  double free = rooms_->free_ordinary();
+  for (const auto& [used, mi] : thin) {
+    if (emptying.size() >= most) return;
+    Machine& m = (*fleet_)[mi];
+    const double others = free - std::max(0.0, rooms_->nodes()[mi].cores);
+    if (others < used + rooms_->headroom() * (1 + tuning_->consolidate_spare)) return;
+    free = others - used;
+    m.emptying = m.drain = true;
+    m.emptying_since = now;
+    emptying.push_back(mi);
+    spdlog::info("emptying machine {}: {} cores in use there, {} free elsewhere", m.name, used,
+                 others);
+  }
+}
+
+void Planner::MoveOne(MachIdx mi) {
+  Machine& m = (*fleet_)[mi];
+  for (Slot& s : m.slots) {
+    if (s.gone || !s.keep || s.job == kNone || s.state != TaskState::kRunning) continue;
+    const Job& job = (*book_)[s.job];
+    if (!job.spec.service) continue;               // arrays end by themselves
+    if (job.running < job.tasks.size()) continue;  // one replica of a job at a time
+    std::vector<uint32_t> on = job.on;
+    on.erase(std::find(on.begin(), on.end(), mi));
+    std::vector<char> zones;
+    if (!rooms_->ZoneRoom(job, on, &zones)) continue;
+    Need need = rooms_->NeedOf(job, zones, on);
+    need.patient = false;
+    need.cached_only = true;
+    const std::vector<uint32_t> open = rooms_->Open(job.spec.cores);
+    // It is itself drained, and so not among them.
+    if (Picker(&need, &rooms_->nodes(), open).Next(true) < 0) continue;
+    spdlog::info("moving {} off {}", s.name, m.name);
+    fleet_->Unwant(mi, &s, 0);
+    m.moved_at = clock_->Now();
+    fleet_->changed = true;
+    return;
+  }
+}
+
+// Empty machines that are of no more use, however much waits.
+bool Planner::ReturnIfUseless(MachIdx mi, double boot) {
+  Machine& m = (*fleet_)[mi];
+  const double now = clock_->Now();
+  if (!m.up) {
+    if (clock_->Wall() - m.rented_wall > boot * tuning_->give_up_boot && now - m.known_at > boot) {
+      rentals_->Return(mi, "does not come up");
+    }
+    return true;
+  }
+  if (m.busy > 0 || !m.accounted) {
+    m.idle_since = -1;
+    return true;
+  }
+  if (m.idle_since < 0) m.idle_since = now;
+  const char* why = m.notice_until >= 0                   ? "the cloud takes it, and it is empty"
+                    : rentals_->TypeOf(m.type) == nullptr ? "its type is not offered"
+                    : m.sick_count >= 2                   ? "fails the tasks it starts"
+                    : m.emptying                          ? "emptied"
+                                                          : nullptr;
+  if (why != nullptr) rentals_->Return(mi, why);
+  return why != nullptr;
+}
+
+void Planner::ReturnIdle() {
+  const double now = clock_->Now();
+  bool services_wait = false;
+  double waiting = 0;
+  for (JobIdx j : book_->live()) {
+    const Job& job = (*book_)[j];
+    if (job.waiting.empty() || now < job.backoff_until || !rooms_->TeamRoom(job)) continue;
+    services_wait = services_wait || job.spec.service;
+    waiting += job.spec.cores * static_cast<double>(job.waiting.size());
+  }
+  double free_ordinary = rooms_->free_ordinary() + rooms_->lodgers();
+  for (MachIdx mi : fleet_->active()) {
+    Machine& m = (*fleet_)[mi];
+    if (m.returning) continue;
+    const MachineType* type = rentals_->TypeOf(m.type);
+    const double boot = type == nullptr ? 60 : type->boot_s;
+    if (ReturnIfUseless(mi, boot)) continue;
+    const double idle = now - m.idle_since;
+    if (m.spot) {
+      if (idle > tuning_->idle_spot_boots * boot && waiting <= 0) rentals_->Return(mi, "idle");
+    } else if (idle > tuning_->idle_ordinary_boots * boot && !services_wait &&
+               free_ordinary - type->cores >= rooms_->headroom()) {
+      free_ordinary -= type->cores;
+      rentals_->Return(mi, "idle");
+    }
+  }
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/planner.h
@@ -0,0 +1,39 @@
+// Decides which machines there should be.
+#pragma once
+
+#include <vector>
+
+#include "leader/ranking.h"
+#include "leader/rooms.h"
+#include "sched/capacity.h"
+
+namespace deckhall {
+
+class Planner {
+ public:
+  Planner(JobBook* book, Fleet* fleet, Rooms* rooms, const Ranking* ranking, Rentals* rentals,
+          const Clock* clock, const Settings* settings, const Tuning* tuning);
+
+  // Rents and returns machines.
+  void Plan();
+
+ private:
+  std::vector<Offer> Offers(std::vector<Node>* bins, int* machines) const;
+  std::vector<Want> Wants(double* waiting);
+  void Rent();
+  void ReturnIdle();
+  bool ReturnIfUseless(MachIdx m, double boot);
+  void Consolidate();
+  void MoveOne(MachIdx m);
+
+  JobBook* book_;
+  Fleet* fleet_;
+  Rooms* rooms_;
+  const Ranking* ranking_;
+  Rentals* rentals_;
+  const Clock* clock_;
+  const Settings* settings_;
+  const Tuning* tuning_;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/ranking.cc
@@ -0,0 +1,115 @@
+#include "leader/ranking.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "sched/fsp.h"
+
+namespace deckhall {
+namespace {
+
+constexpr double kEps = 1e-6;
+
+}  // namespace
+
+void Ranking::Observed(const Job& job, double run_s) {
+  if (job.klass >= classes_.size()) classes_.resize(job.klass + 1);
+  if (job.spec.estimate_s <= 0 || run_s <= 0) return;
+  ClassStats& c = classes_[job.klass];
+  const double x = std::log(std::clamp(run_s / job.spec.estimate_s, 0.05, 20.0));
+  c.weight = std::min(c.weight + 1, 200.0);
+  c.log_ratio += (x - c.log_ratio) / c.weight;
+}
+
+double Ranking::TaskSeconds(const Job& job) const {
+  double ratio = 1;
+  if (job.klass < classes_.size()) {
+    const ClassStats& c = classes_[job.klass];
+    // The owners' word counts like ten finished tasks.
+    ratio = std::exp(c.log_ratio * c.weight / (c.weight + 10));
+  }
+  return std::max(1.0, job.spec.estimate_s * ratio);
+}
+
+double Ranking::WorkLeft(const Job& job) const {
+  const auto tasks = static_cast<double>(job.tasks.size() - job.done);
+  return std::max(tasks * std::max(job.spec.cores, 0.1) * TaskSeconds(job), 1e-3);
+}
+
+void Ranking::Guarantees() {
+  std::vector<JobIdx> order = book_->live();
+  std::sort(order.begin(), order.end(), [this](JobIdx a, JobIdx b) {
+    const Job& x = (*book_)[a];
+    const Job& y = (*book_)[b];
+    if (x.submitted_wall != y.submitted_wall) return x.submitted_wall < y.submitted_wall;
+    return x.id < y.id;
+  });
+  std::vector<Use> sum(book_->teams.size());
+  for (JobIdx j : order) {
+    Job& job = (*book_)[j];
+    const Team* team = rooms_->TeamOf(job.team);
+    Use& s = sum[job.team];
+    const auto n = static_cast<double>(job.tasks.size());
+    s.cores += n * job.spec.cores;
+    s.gpus += n * job.spec.gpus;
+    job.guaranteed = team != nullptr && team->cores > 0 && s.cores <= team->cores + kEps &&
+                     s.gpus <= team->gpus + kEps;
+  }
+}
+
+// None of its tasks found a place for so long: it goes first once, whatever its
+// size, team or priority. Otherwise a stream of jobs ranked better could keep it
+// waiting for ever. Its limit, its zones and who may be stopped for it stay as
+// they are.
+bool Ranking::Passed(const Job& job, double now) const {
+  return !job.waiting.empty() && now - job.starved_since > tuning_->passed_over_s;
+}
+
+void Ranking::Refresh() {
+  const double now = clock_->Now();
+  if (now < due_) return;
+  const double weights[] = {tuning_->weight_idle, tuning_->weight_normal, tuning_->weight_urgent,
+                            tuning_->weight_production};
+  std::vector<JobIdx> arrays;
+  std::vector<FspJob> run;
+  for (JobIdx j : book_->live()) {
+    Job& job = (*book_)[j];
+    if (job.spec.service) continue;
+    arrays.push_back(j);
+    if (job.left <= 0 && job.done > 0) {
+      // Over in the imagined run and not in the real one. Unless it was only
+      // kept waiting, its estimate was too low: it is measured anew, or it would
+      // hold the first rank for good.
+      const double est = job.spec.estimate_s * job.spec.cores;
+      if (TaskSeconds(job) * job.spec.cores > est * 1.2) job.left = WorkLeft(job) * 0.5;
+    }
+    FspJob f;
+    f.left = job.left;
+    const Team* team = rooms_->TeamOf(job.team);
+    f.weight = (team != nullptr && team->cores > 0 ? team->cores : 1.0) *
+               weights[static_cast<int>(job.spec.priority)];
+    f.cap = std::max(0.1, static_cast<double>(job.tasks.size() - job.done) * job.spec.cores);
+    run.push_back(f);
+  }
+  if (ranked_at_ >= 0) FspAdvance(&run, rooms_->capacity(), now - ranked_at_);
+  const auto finish = FspFinish(run, rooms_->capacity());
+  for (size_t i = 0; i < arrays.size(); ++i) {
+    (*book_)[arrays[i]].left = run[i].left;
+    (*book_)[arrays[i]].finish = finish[i];
+  }
+  Guarantees();
+  std::sort(arrays.begin(), arrays.end(), [this, now](JobIdx a, JobIdx b) {
+    const Job& x = (*book_)[a];
+    const Job& y = (*book_)[b];
+    if (Passed(x, now) != Passed(y, now)) return Passed(x, now);
+    if (x.guaranteed != y.guaranteed) return x.guaranteed;
+    if (x.finish != y.finish) return x.finish < y.finish;
+    if (x.submitted_wall != y.submitted_wall) return x.submitted_wall < y.submitted_wall;
+    return x.id < y.id;
+  });
+  order_ = std::move(arrays);
+  ranked_at_ = now;
+  due_ = now + tuning_->refresh_s;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/ranking.h
@@ -0,0 +1,48 @@
+// Which array goes first: the paper's imagined run over the jobs in the book,
+// with guarantees before it and a bound on how long a job may be passed over.
+#pragma once
+
+#include <vector>
+
+#include "leader/rooms.h"
+
+namespace deckhall {
+
+class Ranking {
+ public:
+  Ranking(JobBook* book, const Rooms* rooms, const Clock* clock, const Tuning* tuning)
+      : book_(book), rooms_(rooms), clock_(clock), tuning_(tuning) {}
+
+  // A job came or went: ranks are refreshed before the next use.
+  void JobsChanged() { due_ = 0; }
+  // Refreshes the ranks if that is due.
+  void Refresh();
+  // Arrays, the first to be served first.
+  const std::vector<JobIdx>& order() const { return order_; }
+  // A task completed after running for so long.
+  void Observed(const Job& job, double run_s);
+  // Expected run time of one of its tasks.
+  double TaskSeconds(const Job& job) const;
+  // Work left by the present estimate, in core-seconds.
+  double WorkLeft(const Job& job) const;
+
+ private:
+  struct ClassStats {
+    double log_ratio = 0;  // real over estimated run time
+    double weight = 0;
+  };
+
+  void Guarantees();
+  bool Passed(const Job& job, double now) const;
+
+  JobBook* book_;
+  const Rooms* rooms_;
+  const Clock* clock_;
+  const Tuning* tuning_;
+  double due_ = 0;
+  double ranked_at_ = -1;
+  std::vector<JobIdx> order_;
+  std::vector<ClassStats> classes_;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/rooms.cc
@@ -0,0 +1,231 @@
+#include "leader/rooms.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace deckhall {
+namespace {
+
+constexpr double kEps = 1e-6;
+constexpr double kNoLimit = 1e9;
+constexpr double kRateMemory = 120;  // seconds over which arrivals are averaged
+
+}  // namespace
+
+Rooms::Rooms(JobBook* book, Fleet* fleet, Rentals* rentals, RowStore* store, const Clock* clock,
+             const Settings* settings, const Tuning* tuning)
+    : book_(book),
+      fleet_(fleet),
+      rentals_(rentals),
+      store_(store),
+      clock_(clock),
+      settings_(settings),
+      tuning_(tuning) {}
+
+const Team* Rooms::TeamOf(uint32_t team) const {
+  return team < teams_.size() ? teams_[team] : nullptr;
+}
+
+bool Rooms::MayBeOn(const Job& job, const Machine& m) {
+  if (m.spot && !job.spec.spot) return false;
+  if (job.zone != kNone && m.zone != kNone && job.zone != m.zone) return false;
+  if (job.types.empty() || m.type == kNone) return true;
+  return m.type < job.types.size() && job.types[m.type] != 0;
+}
+
+bool Rooms::Usable(const Machine& m) const {
+  const double now = clock_->Now();
+  // Reports alone are no proof that it hears: a machine whose commands get lost
+  // would be given tasks again and again.
+  return m.up && m.accounted && !m.gone && !m.drain && !m.returning && m.notice_until < 0 &&
+         Fleet::Hears(m) && m.fails < 2 && m.row != kNoRow && !m.endpoint.empty() &&
+         store_->Durable(m.row) && now >= m.sick_until && now >= m.no_room_until &&
+         now - m.heard_at < std::max(tuning_->silent_s, settings_->report_s * 1.6);
+}
+
+void Rooms::Remake(MachIdx mi) {
+  Machine& m = (*fleet_)[mi];
+  m.stale = false;
+  ++steps;
+  Node& n = nodes_[mi];
+  n.machine = mi;
+  n.type = m.type;
+  n.zone = m.zone;
+  n.spot = m.spot;
+  if (const MachineType* type = rentals_->TypeOf(m.type)) {
+    n.total_cores = type->cores;
+    n.cores = type->cores - m.used_cores;
+    n.gpus = type->gpus - m.used_gpus;
+    n.memory_gb = type->memory_gb - m.used_memory;
+    n.fetch_gb_per_s = type->fetch_gb_per_s;
+  } else {
+    n.total_cores = n.cores = n.gpus = n.memory_gb = 0;
+  }
+  n.coming.clear();
+  for (const Slot& s : m.slots) {
+    if (s.gone || !s.keep || s.job == kNone || (s.seen && s.state != TaskState::kFetching)) {
+      continue;
+    }
+    n.coming.push_back((*book_)[s.job].image);
+  }
+}
+
+void Rooms::Refresh() {
+  if (teams_.size() < book_->teams.size()) {
+    teams_.assign(book_->teams.size(), nullptr);
+    for (const Team& t : settings_->teams) {
+      const uint32_t at = book_->teams.Find(t.name);
+      if (at != kNone) teams_[at] = &t;
+    }
+  }
+  nodes_.resize(fleet_->size());
+  free_ordinary_ = free_spot_ = lodgers_ = capacity_ = 0;
+  double most = 0;
+  double services = 0;
+  for (MachIdx mi : fleet_->active()) {
+    Machine& m = (*fleet_)[mi];
+    Node& n = nodes_[mi];
+    if (m.stale) Remake(mi);
+    n.images = &m.images;  // machines may have moved in memory
+    n.usable = n.total_cores > 0 && Usable(m);
+    if (m.up) capacity_ += n.total_cores;
+    most = std::max(most, m.service_cores);
+    services += m.service_cores;
+    if (!n.usable) continue;
+    (m.spot ? free_spot_ : free_ordinary_) += std::max(0.0, n.cores);
+    if (!m.spot) lodgers_ += m.lodger_cores;
+  }
+  capacity_ = std::max(capacity_, 1.0);
+  unit_cores_ = unit_memory_ = 0;
+  for (JobIdx j : book_->live()) {
+    const Job& job = (*book_)[j];
+    if (!job.spec.service) continue;
+    unit_cores_ = std::max(unit_cores_, job.spec.cores);
+    unit_memory_ = std::max(unit_memory_, job.spec.memory_gb);
+  }
+  double boot = 0;
+  for (const MachineType& t : rentals_->types()) {
+    boot = boot == 0 ? t.boot_s : std::min(boot, t.boot_s);
+  }
+  const double since = rate_at_ < 0 ? 0 : clock_->Now() - rate_at_;
+  const double rate = service_rate_ * std::exp(-since / kRateMemory);
+  // On a large fleet more than one machine is lost together.
+  headroom_ = std::max(most * tuning_->headroom_machines, services * tuning_->headroom_share) +
+              rate * boot * tuning_->headroom_boots;
+  CountUse();
+}
+
+void Rooms::ServiceArrived(const Job& job) {
+  const double now = clock_->Now();
+  if (rate_at_ < 0) rate_at_ = now;
+  service_rate_ *= std::exp(-(now - rate_at_) / kRateMemory);
+  rate_at_ = now;
+  service_rate_ += job.spec.cores * job.spec.tasks / kRateMemory;
+}
+
+void Rooms::CountUse() {
+  use_ = fleet_->team_use();
+  use_.resize(book_->teams.size());
+  Use hidden;
+  bool any_hidden = false;
+  for (MachIdx mi : fleet_->active()) {
+    const Machine& m = (*fleet_)[mi];
+    if (!m.may_hold || m.accounted) continue;
+    any_hidden = true;
+    const MachineType* type = rentals_->TypeOf(m.type);
+    hidden.cores += type == nullptr ? kNoLimit : type->cores;
+    hidden.gpus += type == nullptr ? kNoLimit : type->gpus;
+  }
+  if (!any_hidden) return;
+  // Tasks that may be on machines not accounted for count against their team.
+  std::vector<Use> unseen(book_->teams.size());
+  auto add = [this, &unseen](const std::vector<JobIdx>& list) {
+    for (JobIdx j : list) {
+      const Job& job = (*book_)[j];
+      if (!job.full || job.unseen == 0) continue;
+      unseen[job.team].cores += job.unseen * job.spec.cores;
+      unseen[job.team].gpus += job.unseen * job.spec.gpus;
+    }
+  };
+  add(book_->live());
+  add(book_->fading());
+  for (size_t t = 0; t < use_.size(); ++t) {
+    use_[t].cores += std::min(unseen[t].cores, hidden.cores);
+    use_[t].gpus += std::min(unseen[t].gpus, hidden.gpus);
+  }
+}
+
+bool Rooms::TeamRoom(const Job& job) const {
+  const Team* team = TeamOf(job.team);
+  if (team == nullptr) return false;
+  const Use& u = use_[job.team];
+  if (team->cores_max > 0 && u.cores + job.spec.cores > team->cores_max + kEps) return false;
+  return team->gpus_max <= 0 || u.gpus + job.spec.gpus <= team->gpus_max + kEps;
+}
+
+double Rooms::TeamLeft(uint32_t team) const {
+  const Team* t = TeamOf(team);
+  return t != nullptr && t->cores_max > 0 ? t->cores_max - use_[team].cores : kNoLimit;
+}
+
+bool Rooms::ZoneRoom(const Job& job, const std::vector<uint32_t>& on,
+                     std::vector<char>* zones) const {
+  if (!job.spec.one_zone && !job.spec.apart) return true;
+  // A task that may be on an unknown machine is in an unknown zone.
+  if (job.unseen > 0) return false;
+  zones->assign(book_->zones.size(), 1);
+  std::vector<uint32_t> count(book_->zones.size(), 0);
+  for (uint32_t m : on) {
+    const uint32_t z = (*fleet_)[m].zone;
+    if (z != kNone) ++count[z];
+  }
+  const auto most = static_cast<uint32_t>((job.tasks.size() + 1) / 2);
+  for (size_t z = 0; z < zones->size(); ++z) {
+    if (job.spec.apart && count[z] >= most) (*zones)[z] = 0;
+    if (job.spec.one_zone && !on.empty() && count[z] == 0) (*zones)[z] = 0;
+  }
+  return true;
+}
+
+Need Rooms::NeedOf(const Job& job, const std::vector<char>& zones,
+                   const std::vector<uint32_t>& siblings) const {
+  Need n;
+  n.cores = job.spec.cores;
+  n.gpus = job.spec.gpus;
+  n.memory_gb = job.spec.memory_gb;
+  n.types = job.types.empty() ? nullptr : &job.types;
+  n.zone = job.zone;
+  n.spot_ok = job.spec.spot;
+  n.service = job.spec.service;
+  // A replica that never ran and has waited for long, as at a cold start.
+  n.patient =
+      n.service && job.placed == 0 && clock_->Now() - job.waiting_since > tuning_->patient_s;
+  n.image = job.image;
+  n.image_gb = job.spec.image_gb;
+  n.avoid = job.failed_on.empty() ? nullptr : &job.failed_on;
+  n.siblings = siblings.empty() ? nullptr : &siblings;
+  n.zones = zones.empty() ? nullptr : &zones;
+  return n;
+}
+
+void Rooms::Take(const Job& job, uint32_t node) {
+  Node& n = nodes_[node];
+  use_[job.team].cores += job.spec.cores;
+  use_[job.team].gpus += job.spec.gpus;
+  n.cores -= job.spec.cores;
+  n.gpus -= job.spec.gpus;
+  n.memory_gb -= job.spec.memory_gb;
+  n.coming.push_back(job.image);
+  (n.spot ? free_spot_ : free_ordinary_) -= job.spec.cores;
+}
+
+std::vector<uint32_t> Rooms::Open(double least_cores) const {
+  std::vector<uint32_t> open;
+  for (MachIdx mi : fleet_->active()) {
+    const Node& n = nodes_[mi];
+    if (n.usable && n.cores + kEps >= least_cores) open.push_back(mi);
+  }
+  return open;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/rooms.h
@@ -0,0 +1,84 @@
+// The picture of free room: one node for each machine, refreshed only where
+// something changed, and what each team uses.
+#pragma once
+
+#include <vector>
+
+#include "app/settings.h"
+#include "app/tuning.h"
+#include "cloud/rentals.h"
+#include "fleet/fleet.h"
+#include "sched/placement.h"
+
+namespace deckhall {
+
+class Rooms {
+ public:
+  Rooms(JobBook* book, Fleet* fleet, Rentals* rentals, RowStore* store, const Clock* clock,
+        const Settings* settings, const Tuning* tuning);
+
+  // Takes in what changed since the last call.
+  void Refresh();
+  bool Usable(const Machine& m) const;
+  // Whether the job could be on such a machine at all.
+  static bool MayBeOn(const Job& job, const Machine& m);
+  // By team index; unknown teams have none.
+  const Team* TeamOf(uint32_t team) const;
+  bool TeamRoom(const Job& job) const;
+  // Cores the team may still use, a large number without a limit.
+  double TeamLeft(uint32_t team) const;
+  const Use& UseOf(uint32_t team) const { return use_[team]; }
+  // What a task of the job needs; the vectors must outlive it.
+  Need NeedOf(const Job& job, const std::vector<char>& zones,
+              const std::vector<uint32_t>& siblings) const;
+  // Zones that may take one more task, given where its tasks are. False: none may.
+  bool ZoneRoom(const Job& job, const std::vector<uint32_t>& on, std::vector<char>* zones) const;
+  // The task takes its room in the picture.
+  void Take(const Job& job, uint32_t node);
+
+  std::vector<Node>& nodes() { return nodes_; }  // by machine
+  const std::vector<Node>& nodes() const { return nodes_; }
+  // Machines that may take a task of at least these cores.
+  std::vector<uint32_t> Open(double least_cores) const;
+  double free_ordinary() const { return free_ordinary_; }
+  double free_spot() const { return free_spot_; }
+  // Cores of ordinary machines that services may claim from arrays.
+  double lodgers() const { return lodgers_; }
+  // Room for replicas to come back after machines are lost, and for those that
+  // arrive while a new machine boots.
+  double headroom() const { return headroom_; }
+  double unit_cores() const { return unit_cores_; }
+  double unit_memory() const { return unit_memory_; }
+  // Cores of all machines that are up.
+  double capacity() const { return capacity_; }
+  // Cores of services that arrive.
+  void ServiceArrived(const Job& job);
+  // How often a node was looked at or made anew.
+  uint64_t steps = 0;
+
+ private:
+  void Remake(MachIdx m);
+  void CountUse();
+
+  JobBook* book_;
+  Fleet* fleet_;
+  Rentals* rentals_;
+  RowStore* store_;
+  const Clock* clock_;
+  const Settings* settings_;
+  const Tuning* tuning_;
+  std::vector<Node> nodes_;
+  std::vector<Use> use_;
+  std::vector<const Team*> teams_;  // by team index
+  double free_ordinary_ = 0;
+  double free_spot_ = 0;
+  double lodgers_ = 0;
+  double headroom_ = 0;
+  double unit_cores_ = 0;
+  double unit_memory_ = 0;
+  double capacity_ = 1;
+  double service_rate_ = 0;  // cores of services arriving per second
+  double rate_at_ = -1;
+};
+
+}  // namespace deckhall
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -11,6 +11,8 @@
 constexpr double kFresh = 1.0;  // a peer heard within this is there
 constexpr double kDoubt = 10;
 constexpr double kRedial = 0.5;
+constexpr double kRefusal = 1.5;
+constexpr double kRefusedWithin = 0.3;
 constexpr double kStuck = 1.5;  // a link silent for this long is dialled anew
 constexpr size_t kMaxInbound = 64;
 constexpr size_t kMaxPending = 2000;
@@ -26,12 +28,14 @@
       label_(std::move(label)),
       instance_(instance),
       server_(std::move(server)),
+      quiet_(peers.size()),
       reaper_(loop, [this] { dropped_.clear(); }),
       ticker_(loop, [this] { Tick(); }),
       listener_(loop, listen, [this](std::unique_ptr<TcpConn> c) { Accept(std::move(c)); }) {
   for (Peer& p : peers) {
     links_.push_back(std::make_unique<Link>());
     links_.back()->peer = std::move(p);
+    links_.back()->index = links_.size() - 1;
   }
   ticker_.Start(0, kPingEvery);
 }
@@ -42,6 +46,7 @@
   ping.instance = instance_;
   ping.leading = leading_;
   ping.holding = holding_;
+  ping.informed = informed_;
   ping.term = holding_ ? term_ : highest_term_;
   ping.leader = holding_ ? label_ : FreshLeader();
   for (const auto& link : links_) {
@@ -97,13 +102,19 @@
 }
 
 double Mesh::QuietSince(uint64_t term) const {
-  double since = clock_->Now();
-  if (highest_term_ > term) return -1e9;
-  for (const auto& link : links_) since = std::min(since, link->asked_at);
-  return since;
+  return highest_term_ > term ? Quiet::kNever : quiet_.Since(clock_->Now());
 }
 
-void Mesh::NoteTerm(uint64_t term) { highest_term_ = std::max(highest_term_, term); }
+void Mesh::NoteTerm(uint64_t term) {
+  informed_ = true;
+  highest_term_ = std::max(highest_term_, term);
+}
+
+bool Mesh::Refuses(const std::string& label) const {
+  return std::any_of(links_.begin(), links_.end(), [this, &label](const auto& link) {
+    return link->peer.label == label && clock_->Now() - link->refused < kRefusal;
+  });
+}
 
 double Mesh::Silence() const {
   double best = 1e9;
@@ -172,7 +183,7 @@
           if (auto* ping = std::get_if<MeshPing>(&f.body)) {
             link->heard = clock_->Now();
             link->last = *ping;
-            link->asked_at = std::max(link->asked_at, static_cast<double>(f.id) / 1000);
+            quiet_.Heard(link->index, static_cast<double>(f.id) / 1000, ping->informed);
             OnPing(*ping);
           } else if (f.id != 0) {
             Settle(f.id, std::move(f.body));
@@ -185,6 +196,8 @@
 
 void Mesh::Hangup(Link* link) {
   if (!link->tcp) return;
+  const double now = clock_->Now();
+  if (!link->tcp->connected() && now - link->tried < kRefusedWithin) link->refused = now;
   link->tcp->Abandon();
   dropped_.push_back(std::move(link->tcp));
   reaper_.Start(0);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "mesh/quiet.h"
 #include "net/clock.h"
 #include "net/tcp.h"
 #include "wire/mesh_codec.h"
@@ -46,10 +47,13 @@
   bool Doubtful(const std::string& site) const;
   // A time at which surely no other node led a term above this one: each peer has
   // said so in answer to something sent then or later. Held-back packets can't
-  // make it younger than it is.
+  // make it younger than it is, and a process that was started anew and has not
+  // yet asked the state service is not believed: its predecessor may have led.
   double QuietSince(uint64_t term) const;
-  // A term this node knows of by itself.
+  // The state service showed this process that no later term has begun so far.
   void NoteTerm(uint64_t term);
+  // Connections to the peer are refused, rather than silent.
+  bool Refuses(const std::string& label) const;
   // Time since any peer was heard.
   double Silence() const;
 
@@ -64,8 +68,9 @@
     double missed = -1e9;  // last time it was not heard
     double tried = -1e9;
     double connected_at = 0;
+    double refused = -1e9;  // an attempt to connect failed at once
     MeshPing last;
-    double asked_at = -1e9;  // when the ping was sent that was answered last
+    size_t index = 0;
   };
   struct Inbound {
     std::unique_ptr<TcpConn> tcp;
@@ -101,6 +106,8 @@
   bool holding_ = false;
   uint64_t term_ = 0;
   uint64_t highest_term_ = 0;
+  bool informed_ = false;
+  Quiet quiet_;
   std::vector<std::unique_ptr<Link>> links_;
   std::map<uint64_t, Inbound> inbound_;
   std::map<uint64_t, Pending> pending_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -22,7 +22,7 @@
     c = pool.back();
     pool.pop_back();
   } else {
-    if (conns_.size() >= max_connections_) Trim(0);
+    if (conns_.size() >= max_connections_) DropOldestIdle();
     std::unique_ptr<TcpConn> tcp;
     if (conns_.size() < max_connections_) tcp = TcpConn::Connect(loop_, to);
     if (!tcp) {
@@ -109,6 +109,17 @@
   if (!reaper_.active()) reaper_.Start(0);
 }
 
+// With more peers than connections the ones unused for longest make room, a few
+// at a time: to drop them all would make every call dial anew.
+void HttpClient::DropOldestIdle() {
+  std::vector<Conn*> idle;
+  for (auto& [peer, pool] : idle_) idle.insert(idle.end(), pool.begin(), pool.end());
+  const size_t most = std::min(idle.size(), std::max<size_t>(1, max_connections_ / 16));
+  std::partial_sort(idle.begin(), idle.begin() + static_cast<ptrdiff_t>(most), idle.end(),
+                    [](const Conn* a, const Conn* b) { return a->idle_since < b->idle_since; });
+  for (size_t i = 0; i < most; ++i) Drop(idle[i]);
+}
+
 void HttpClient::Trim(double idle_s) {
   const double now = loop_->Now();
   std::vector<Conn*> old;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -61,6 +61,7 @@
   void Fail(Conn* c);
   void Drop(Conn* c);
   void Later(Done done, HttpResult result);
+  void DropOldestIdle();
 
   Loop* loop_;
   size_t max_connections_;
--- a/src/sched/capacity.cc
+++ b/src/sched/capacity.cc
@@ -15,8 +15,13 @@
   return slots;
 }
 
+// At most so much dearer does a pool count for the share of the machines it has.
+constexpr double kSpread = 0.3;
+
 int Best(const std::vector<Offer>& offers, const std::vector<int>& rented, const Need& need,
          uint32_t left) {
+  int all = 1;
+  for (size_t i = 0; i < offers.size(); ++i) all += offers[i].existing + rented[i];
   int best = -1;
   double best_cost = 0;
   for (size_t i = 0; i < offers.size(); ++i) {
@@ -27,8 +32,9 @@
     // Price of a task's place; places beyond those wanted are worth half.
     const double used = std::min<double>(slots, left);
     double cost = o.price / (used + 0.5 * (slots - used));
-    // Pools with many machines are a bit dearer, so that zones share the risk.
-    cost *= 1 + 0.01 * (o.existing + rented[i]);
+    // Pools with many machines are a bit dearer, so that zones share the risk. By
+    // share, not by number: a large fleet is no reason to pay more.
+    cost *= 1 + kSpread * (o.existing + rented[i]) / all;
     if (best < 0 || cost < best_cost) {
       best = static_cast<int>(i);
       best_cost = cost;
--- a/src/sched/fsp.cc
+++ b/src/sched/fsp.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
 
 namespace deckhall {
 namespace {
@@ -12,83 +11,90 @@
 // share: the order of the far end of a long queue matters little.
 constexpr size_t kMaxSteps = 200;
 
-}  // namespace
-
-std::vector<double> FspShares(const std::vector<FspJob>& jobs, double capacity) {
-  std::vector<double> share(jobs.size(), 0);
+// Jobs that reach their cap first are those with the least cap per weight. The
+// order stays as jobs complete.
+std::vector<size_t> ByCap(const std::vector<FspJob>& jobs) {
   std::vector<size_t> order;
-  double weights = 0;
   for (size_t i = 0; i < jobs.size(); ++i) {
-    if (jobs[i].left <= kTiny || jobs[i].cap <= 0 || jobs[i].weight <= 0) continue;
-    order.push_back(i);
-    weights += jobs[i].weight;
+    if (jobs[i].left > kTiny && jobs[i].cap > 0 && jobs[i].weight > 0) order.push_back(i);
   }
-  // Jobs that reach their cap first are those with the least cap per weight.
   std::sort(order.begin(), order.end(), [&jobs](size_t a, size_t b) {
-    return jobs[a].cap * jobs[b].weight < jobs[b].cap * jobs[a].weight;
+    const double x = jobs[a].cap * jobs[b].weight;
+    const double y = jobs[b].cap * jobs[a].weight;
+    return x != y ? x < y : a < b;
   });
+  return order;
+}
+
+void Share(const std::vector<FspJob>& jobs, const std::vector<size_t>& order, double capacity,
+           std::vector<double>* share) {
+  double weights = 0;
+  for (size_t i : order) weights += jobs[i].weight;
   for (size_t i : order) {
-    const double fair = capacity * jobs[i].weight / weights;
-    share[i] = std::min(fair, jobs[i].cap);
-    capacity -= share[i];
+    const double fair = capacity * jobs[i].weight / std::max(weights, kTiny);
+    (*share)[i] = std::min(fair, jobs[i].cap);
+    capacity -= (*share)[i];
     weights -= jobs[i].weight;
-    if (weights <= kTiny) weights = kTiny;
   }
+}
+
+// Runs until the next job completes or the time is over; returns the time run.
+// Completed jobs leave the order, with nothing left. Negative: nobody has a share.
+double Step(std::vector<FspJob>* jobs, std::vector<size_t>* order, double capacity, double most,
+            std::vector<double>* share) {
+  Share(*jobs, *order, capacity, share);
+  double step = most;
+  bool moves = false;
+  for (size_t i : *order) {
+    if ((*share)[i] <= kTiny) continue;
+    moves = true;
+    step = std::min(step, (*jobs)[i].left / (*share)[i]);
+  }
+  if (!moves) return -1;
+  for (size_t i : *order) {
+    FspJob& job = (*jobs)[i];
+    job.left = std::max(0.0, job.left - (*share)[i] * step);
+    if (job.left <= 1e-6) job.left = 0;
+  }
+  std::erase_if(*order, [jobs](size_t i) { return (*jobs)[i].left == 0; });
+  return step;
+}
+
+}  // namespace
+
+std::vector<double> FspShares(const std::vector<FspJob>& jobs, double capacity) {
+  std::vector<double> share(jobs.size(), 0);
+  Share(jobs, ByCap(jobs), capacity, &share);
   return share;
 }
 
 void FspAdvance(std::vector<FspJob>* jobs, double capacity, double dt) {
-  while (dt > kTiny) {
-    const auto share = FspShares(*jobs, capacity);
-    double step = dt;
-    for (size_t i = 0; i < jobs->size(); ++i) {
-      if (share[i] > kTiny) step = std::min(step, (*jobs)[i].left / share[i]);
-    }
-    bool moved = false;
-    for (size_t i = 0; i < jobs->size(); ++i) {
-      if (share[i] <= kTiny) continue;
-      moved = true;
-      (*jobs)[i].left = std::max(0.0, (*jobs)[i].left - share[i] * step);
-      if ((*jobs)[i].left < kTiny) (*jobs)[i].left = 0;
-    }
-    if (!moved) return;
+  std::vector<size_t> order = ByCap(*jobs);
+  std::vector<double> share(jobs->size(), 0);
+  while (dt > kTiny && !order.empty()) {
+    const double step = Step(jobs, &order, capacity, dt, &share);
+    if (step < 0) return;
     dt -= std::max(step, 1e-6);
   }
 }
 
 std::vector<double> FspFinish(std::vector<FspJob> jobs, double capacity) {
   std::vector<double> finish(jobs.size(), 0);
-  std::vector<char> open(jobs.size(), 0);
-  size_t left = 0;
-  for (size_t i = 0; i < jobs.size(); ++i) {
-    if (jobs[i].left > kTiny) {
-      open[i] = 1;
-      ++left;
-    }
-  }
+  std::vector<size_t> order = ByCap(jobs);
+  std::vector<double> share(jobs.size(), 0);
   double now = 0;
-  for (size_t round = 0; left > 0; ++round) {
-    const auto share = FspShares(jobs, capacity);
-    double step = std::numeric_limits<double>::infinity();
-    for (size_t i = 0; i < jobs.size(); ++i) {
-      if (open[i] != 0 && share[i] > kTiny) step = std::min(step, jobs[i].left / share[i]);
-    }
-    if (step == std::numeric_limits<double>::infinity() || round >= kMaxSteps) {
-      for (size_t i = 0; i < jobs.size(); ++i) {
-        if (open[i] != 0) finish[i] = now + jobs[i].left / std::max(share[i], 1e-3);
-      }
+  for (size_t round = 0; !order.empty(); ++round) {
+    const std::vector<size_t> open = order;
+    const double step = round >= kMaxSteps ? -1
+                                           : Step(&jobs, &order, capacity,
+                                                  std::numeric_limits<double>::infinity(), &share);
+    if (step < 0) {
+      for (size_t i : order) finish[i] = now + jobs[i].left / std::max(share[i], 1e-3);
       break;
     }
     now += step;
-    for (size_t i = 0; i < jobs.size(); ++i) {
-      if (open[i] == 0) continue;
-      jobs[i].left -= share[i] * step;
-      if (jobs[i].left <= 1e-6) {
-        jobs[i].left = 0;
-        open[i] = 0;
-        finish[i] = now;
-        --left;
-      }
+    for (size_t i : open) {
+      if (jobs[i].left == 0) finish[i] = now;
     }
   }
   return finish;
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -1,6 +1,7 @@
 #include "sched/placement.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace deckhall {
 namespace {
@@ -30,46 +31,76 @@
          node.memory_gb + kEps >= need.memory_gb;
 }
 
-int PickNode(const Need& need, const std::vector<Node>& nodes) {
-  int best = -1;
-  double best_cost = 0;
-  for (size_t i = 0; i < nodes.size(); ++i) {
-    const Node& n = nodes[i];
-    if (!n.usable || !Allows(need, n.type, n.zone, n.spot) || !Fits(need, n)) continue;
-    // Seconds until it runs weigh most; then what the choice costs others.
-    double cost = 0;
-    const bool cached = Has(n.images, need.image);
-    // One fetch serves all tasks there that need the image.
-    const bool coming = !cached && Has(&n.coming, need.image);
-    if (need.cached_only && !cached && !coming) continue;
-    const double fetch_s = need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming ? 0.5 : 1.0);
-    if (need.patient) {
-      // Its start is late anyway. A machine that gets the image now can start
-      // later replicas at once.
-      cost += cached ? fetch_s : 0;
-    } else {
-      cost += cached ? 0 : fetch_s;
-    }
-    if (Has(need.avoid, n.machine)) cost += 1000;
-    if (need.service) {
-      // Replicas apart: one machine lost then costs a service little.
-      if (need.siblings != nullptr) {
-        cost += 3.0 * static_cast<double>(
-                          std::count(need.siblings->begin(), need.siblings->end(), n.machine));
-      }
-    } else if (need.spot_ok && !n.spot) {
-      cost += 4.0;  // ordinary machines are kept for those that need them
-    }
-    const double after = (n.cores - need.cores) / std::max(n.total_cores, 1.0);
-    // Services spread: each machine then holds many images and a little room, and
-    // its loss costs little. Arrays pack, which leaves whole machines free.
-    cost += need.service ? -0.5 * after : 0.5 * after;
-    if (best < 0 || cost < best_cost) {
-      best = static_cast<int>(i);
-      best_cost = cost;
+namespace {
+
+// Seconds until it runs weigh most; then what the choice costs others.
+// False: it is no place for it now.
+bool Cost(const Need& need, const Node& n, double* cost) {
+  const bool cached = Has(n.images, need.image);
+  // One fetch serves all tasks there that need the image.
+  const bool coming = !cached && Has(&n.coming, need.image);
+  if (need.cached_only && !cached && !coming) return false;
+  const double fetch_s = need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming ? 0.5 : 1.0);
+  if (need.patient) {
+    // Its start is late anyway. A machine that gets the image now can start
+    // later replicas at once.
+    *cost = cached ? fetch_s : 0;
+  } else {
+    *cost = cached ? 0 : fetch_s;
+  }
+  if (Has(need.avoid, n.machine)) *cost += 1000;
+  if (need.service) {
+    // Replicas apart: one machine lost then costs a service little.
+    if (need.siblings != nullptr) {
+      *cost += 3.0 * static_cast<double>(
+                         std::count(need.siblings->begin(), need.siblings->end(), n.machine));
     }
+  } else if (need.spot_ok && !n.spot) {
+    *cost += 4.0;  // ordinary machines are kept for those that need them
   }
-  return best;
+  const double after = (n.cores - need.cores) / std::max(n.total_cores, 1.0);
+  // Services spread: each machine then holds many images and a little room, and
+  // its loss costs little. Arrays pack, which leaves whole machines free.
+  *cost += need.service ? -0.5 * after : 0.5 * after;
+  return true;
+}
+
+bool Suits(const Need& need, const Node& n) {
+  return n.usable && Allows(need, n.type, n.zone, n.spot) && Fits(need, n);
 }
 
+}  // namespace
+
+Picker::Picker(const Need* need, const std::vector<Node>* nodes, const std::vector<uint32_t>& open)
+    : need_(need), nodes_(nodes) {
+  for (uint32_t i : open) {
+    double cost = 0;
+    const Node& n = (*nodes_)[i];
+    if (Suits(*need_, n) && Cost(*need_, n, &cost)) heap_.emplace_back(cost, i);
+  }
+  std::make_heap(heap_.begin(), heap_.end(), std::greater<>());
+}
+
+void Picker::Push(uint32_t node) {
+  double cost = 0;
+  const Node& n = (*nodes_)[node];
+  if (!Suits(*need_, n) || !Cost(*need_, n, &cost)) return;
+  heap_.emplace_back(cost, node);
+  std::push_heap(heap_.begin(), heap_.end(), std::greater<>());
+}
+
+int Picker::Next(bool ordinary) {
+  while (!heap_.empty()) {
+    std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
+    const uint32_t at = heap_.back().second;
+    heap_.pop_back();
+    const Node& n = (*nodes_)[at];
+    // Room only shrinks and zones only close while one job is served.
+    if ((ordinary || n.spot) && Suits(*need_, n)) return static_cast<int>(at);
+  }
+  return -1;
+}
+
+void Picker::Again(int node) { Push(static_cast<uint32_t>(node)); }
+
 }  // namespace deckhall
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace deckhall {
@@ -17,7 +18,6 @@
   double memory_gb = 0;
   double total_cores = 0;
   double fetch_gb_per_s = 1;
-  double price_per_core = 0;
   const std::vector<uint32_t>* images = nullptr;  // cached
   std::vector<uint32_t> coming;                   // being fetched
 };
@@ -42,7 +42,23 @@
 bool Allows(const Need& need, uint32_t type, uint32_t zone, bool spot);
 bool Fits(const Need& need, const Node& node);
 
-// Index of the best node, or -1.
-int PickNode(const Need& need, const std::vector<Node>& nodes);
+// Hands out the places for the tasks of one job, the best first. Looks at each
+// open node once; after that a task costs only the logarithm of their number.
+class Picker {
+ public:
+  Picker(const Need* need, const std::vector<Node>* nodes, const std::vector<uint32_t>& open);
+
+  // The best node that fits now, or -1. Without `ordinary`, spot machines only.
+  int Next(bool ordinary);
+  // The node got a task and may take another.
+  void Again(int node);
+
+ private:
+  void Push(uint32_t node);
+
+  const Need* need_;
+  const std::vector<Node>* nodes_;
+  std::vector<std::pair<double, uint32_t>> heap_;
+};
 
 }  // namespace deckhall
--- a/src/state/job_book.cc
+++ b/src/state/job_book.cc
@@ -41,6 +41,14 @@
   job.image = images.Add(job.spec.image);
   job.klass = classes.Add(job.spec.klass);
   job.zone = job.spec.zone.empty() ? kNone : zones.Add(job.spec.zone);
+  if (job.spec.types) {
+    job.types.assign(1, 0);
+    for (const std::string& name : *job.spec.types) {
+      const uint32_t t = types.Add(name);
+      if (t >= job.types.size()) job.types.resize(t + 1, 0);
+      job.types[t] = 1;
+    }
+  }
   job.tasks.resize(job.spec.tasks);
 }
 
@@ -83,7 +91,7 @@
   return true;
 }
 
-void JobBook::FinishLoad(double now) {
+void JobBook::FinishLoad(double now, double wall) {
   for (const Bits& bits : loaded_bits_) {
     const JobIdx j = Find(bits.id);
     if (j == kNone || !jobs_[j].full) {
@@ -119,6 +127,7 @@
     }
     job.ended_at = job.life == JobLife::kLive ? -1 : now;
     job.waiting_since = now;
+    job.starved_since = now - std::max(0.0, wall - job.submitted_wall);
     if (job.life == JobLife::kLive) {
       live_.push_back(j);
       live_tasks_ += job.tasks.size();
--- a/src/state/job_book.h
+++ b/src/state/job_book.h
@@ -17,7 +17,7 @@
   // Reads one row if it is one of ours.
   bool LoadRow(RowId row, const std::string& text);
   // After all rows: tasks that are not done may be anywhere.
-  void FinishLoad(double now);
+  void FinishLoad(double now, double wall);
 
   JobIdx Find(const std::string& id) const;
   Job& operator[](JobIdx j) { return jobs_[j]; }
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -21,7 +21,13 @@
       leader_key_(std::move(leader_key)),
       term_(term) {}
 
-void RowStore::Load(Loaded done) { LoadFrom("", std::move(done)); }
+void RowStore::Load(Loaded done) {
+  // An earlier try may have come half-way; its pages would be there twice.
+  rows_.clear();
+  pages_.clear();
+  unreadable_ = 0;
+  LoadFrom("", std::move(done));
+}
 
 void RowStore::LoadFrom(const std::string& after, Loaded done) {
   state_->List(kPrefix, after, [this, done = std::move(done)](const StateAnswer& answer) {
@@ -52,6 +58,7 @@
       } else {
         spdlog::error("page {} is unreadable and left alone", kv.key);
         page.reserved = limits_.value_bytes;
+        ++unreadable_;
       }
       pages_.push_back(std::move(page));
     }
@@ -136,11 +143,6 @@
   free_rows_.push_back(id);
 }
 
-bool RowStore::AllDurable() const {
-  return !busy_ &&
-         std::none_of(pages_.begin(), pages_.end(), [](const Page& p) { return p.dirty; });
-}
-
 std::string RowStore::Render(const Page& page, size_t* bytes) const {
   std::string out = "[";
   for (RowId id : page.rows) {
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -36,8 +36,8 @@
   void Remove(RowId row);
   // True when the text last set is in the state service.
   bool Durable(RowId row) const { return !rows_[row].dirty && !rows_[row].in_flight; }
-  // True when everything set so far is in the state service.
-  bool AllDurable() const;
+  // Pages whose rows are not known: what they held can't be denied.
+  int unreadable() const { return unreadable_; }
 
   // Sends what is due. Called whenever something may have become due.
   void Pump();
@@ -87,6 +87,7 @@
   bool busy_ = false;
   bool stopped_ = false;
   double retry_at_ = 0;
+  int unreadable_ = 0;
 };
 
 }  // namespace deckhall
--- a/src/wire/mesh.capnp
+++ b/src/wire/mesh.capnp
@@ -27,6 +27,7 @@
   leader @4 :Text;        # label of that term's holder
   reaches @5 :List(Text); # peers it heard lately
   holding @6 :Bool;       # sender still answers reports for its term
+  informed @7 :Bool;      # the term is what the state service showed this process
 }
 
 struct Job {
--- a/src/wire/mesh_codec.cc
+++ b/src/wire/mesh_codec.cc
@@ -79,6 +79,7 @@
     b.setInstance(p.instance);
     b.setLeading(p.leading);
     b.setHolding(p.holding);
+    b.setInformed(p.informed);
     b.setTerm(p.term);
     b.setLeader(Txt(p.leader));
     auto list = b.initReaches(static_cast<unsigned>(p.reaches.size()));
@@ -151,6 +152,7 @@
       p.instance = r.getInstance();
       p.leading = r.getLeading();
       p.holding = r.getHolding();
+      p.informed = r.getInformed();
       p.term = r.getTerm();
       p.leader = Str(r.getLeader());
       for (auto t : r.getReaches()) p.reaches.push_back(Str(t));
--- a/src/wire/mesh_codec.h
+++ b/src/wire/mesh_codec.h
@@ -17,6 +17,7 @@
   uint64_t instance = 0;
   bool leading = false;
   bool holding = false;
+  bool informed = false;
   uint64_t term = 0;
   std::string leader;
   std::vector<std::string> reaches;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -37,6 +37,8 @@
   std::vector<Txn> late;
   std::vector<Txn> committed;
   double write_room = 100;
+  size_t list_page = 1000;    // rows in one answer
+  int fail_lists_after = -1;  // so many lists are answered, then one is not
   std::deque<std::function<void()>> queue;
 
   void Run() {
@@ -106,8 +108,12 @@
   void List(const std::string& prefix, const std::string& after, Done done) override {
     StateAnswer a;
     a.outcome = refuse ? StateOutcome::kRefused : StateOutcome::kOk;
+    if (fail_lists_after >= 0 && fail_lists_after-- == 0) a.outcome = StateOutcome::kRefused;
     for (const auto& [key, e] : keys) {
-      if (key.starts_with(prefix) && key > after) a.rows.push_back({key, e.value, e.version});
+      if (!key.starts_with(prefix) || key <= after) continue;
+      a.truncated = a.rows.size() >= list_page;
+      if (a.truncated) break;
+      a.rows.push_back({key, e.value, e.version});
     }
     a.number = revision;
     Answer(std::move(done), a);
@@ -186,6 +192,7 @@
 struct FakeWorker {
   Report report;
   bool silent = false;   // nothing arrives, nothing is answered
+  bool deaf = false;     // reports arrive; answers and commands don't reach it
   int lose_answers = 0;  // executed, answer lost
   int hold = 0;          // commands held back; see Late()
   std::vector<std::pair<uint64_t, std::pair<uint64_t, std::vector<Command>>>> held;
@@ -247,7 +254,7 @@
     if (w.hold > 0) {
       --w.hold;
       w.held.push_back({token, {session, commands}});
-    } else if (!w.silent) {
+    } else if (!w.silent && !w.deaf) {
       const bool ok = token >= w.report.token && session == w.report.session;
       if (ok) w.Execute(token, commands);
       ++w.report.seq;
@@ -266,7 +273,7 @@
     FakeWorker& w = at[endpoint];
     WorkerAnswer a;
     a.sent = true;
-    if (!w.silent) {
+    if (!w.silent && !w.deaf) {
       ++w.report.seq;
       a.status = 200;
       a.has_report = true;
@@ -357,7 +364,7 @@
     if (w->silent || w->report.machine.empty()) return;
     ++w->report.seq;
     const ReportReply reply = leader->OnReport(w->report);
-    if (reply.status == 200 && reply.token >= w->report.token) {
+    if (reply.status == 200 && reply.token >= w->report.token && !w->deaf) {
       w->Execute(reply.token, reply.commands);
     }
   }
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -70,6 +70,7 @@
   auto& m = w.Machine("m-1", "east");
   m.report.token = (w.leader->term() + 1) << kTermShift;
   ++m.report.seq;
+  w.lease.until = w.clock.now - 0.1;
   EXPECT_EQ(w.leader->OnReport(m.report).status, 421);
   EXPECT_TRUE(w.deposed);
 }
--- /dev/null
+++ b/tests/trouble_test.cc
@@ -0,0 +1,360 @@
+// Troubles that hide: what looks like life is none, and what looks gone is back.
+#include <gtest/gtest.h>
+
+#include "app/health.h"
+#include "fakes.h"
+#include "mesh/quiet.h"
+
+namespace deckhall {
+namespace {
+
+size_t Started(const FakeWorker& w, const std::string& job) {
+  return static_cast<size_t>(
+      std::count_if(w.started.begin(), w.started.end(),
+                    [&job](const std::string& t) { return t.starts_with(job + "/"); }));
+}
+
+// Its lease ran out: it killed and forgot its tasks.
+void NextSession(FakeWorker* w) {
+  ++w->report.session;
+  w->report.seq = 0;
+  w->report.tasks.clear();
+}
+
+TEST(Deaf, AMachineThatOnlyReportsGetsNothingInItsNewSession) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "east");
+  a.deaf = true;
+  NextSession(&a);
+  w.Pass(0.5);
+  w.Submit(w.Array("job-1", 4));
+  w.Pass(1);
+  EXPECT_EQ(Started(b, "job-1"), 4U);
+}
+
+TEST(Deaf, ItIsReturnedAndOnlyThenItsTasksStartElsewhere) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  ASSERT_TRUE(a.Has("job-1/0"));
+  auto& b = w.Machine("m-2", "east");
+  a.deaf = true;
+  w.cloud.out = true;
+  // Long before its lease would end what runs there.
+  w.Pass(w.settings.lease_s / 3 + w.tuning.deaf_s + 1);
+  EXPECT_FALSE(b.Has("job-1/0"));
+  EXPECT_TRUE(w.cloud.returned.empty());
+  w.cloud.out = false;
+  w.Pass(3);
+  EXPECT_EQ(w.cloud.returned, std::vector<std::string>{"m-1"});
+  EXPECT_TRUE(b.Has("job-1/0"));
+}
+
+TEST(Deaf, ManyAtOnceAreNotReturned) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  std::vector<FakeWorker*> all;
+  for (int i = 1; i <= 6; ++i) all.push_back(&w.Machine("m-" + std::to_string(i), "east"));
+  for (FakeWorker* m : all) {
+    m->deaf = true;
+    NextSession(m);
+  }
+  w.Pass(w.tuning.deaf_s * 3);
+  EXPECT_TRUE(w.cloud.returned.empty());
+  for (FakeWorker* m : all) m->deaf = false;
+  w.Pass(5);
+  w.Submit(w.Array("job-1", 4));
+  w.Pass(1);
+  size_t started = 0;
+  for (FakeWorker* m : all) started += Started(*m, "job-1");
+  EXPECT_EQ(started, 4U);
+}
+
+TEST(Copies, OfASilentMachinesReportsDoNotKeepItsTasksFromStartingElsewhere) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  ASSERT_TRUE(a.Has("job-1/0"));
+  auto& b = w.Machine("m-2", "east");
+  const Report copy = a.report;
+  a.silent = true;
+  w.cloud.out = true;  // it can't be returned: its lease alone tells
+  for (int i = 0; i < 26; ++i) {
+    w.Pass(1);
+    w.leader->OnReport(copy);
+  }
+  EXPECT_TRUE(b.Has("job-1/0"));
+}
+
+TEST(Copies, TheFirstThingANewLeaderHearsDoesNotAccountForAMachine) {
+  World w;
+  w.tuning.takeover_wait_s = 500;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  ++a.report.seq;
+  const Report copy = a.report;  // before anything ran there
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  ASSERT_TRUE(a.Has("job-1/0"));
+  auto& b = w.Machine("m-2", "east");
+  a.silent = true;
+  w.Lead();
+  w.leader->OnReport(copy);
+  w.Pass(5);
+  EXPECT_FALSE(b.Has("job-1/0"));
+}
+
+// A machine that was returned under the former leader: a late copy of its report
+// must neither pass for room nor stay for ever.
+TEST(Copies, OneFromAMachineThatIsGoneBlocksNothing) {
+  World w;
+  w.Lead();
+  w.workers.at["m-1:1"].silent = true;
+  Report copy;
+  copy.machine = "m-1";
+  copy.endpoint = "m-1:1";
+  copy.type = "box";
+  copy.zone = "east";
+  copy.session = 1;
+  copy.seq = 90;
+  copy.token = (w.leader->term() - 1) << kTermShift;
+  w.leader->OnReport(copy);
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(3);
+  EXPECT_FALSE(w.cloud.rented.empty());
+  w.Pass(20);
+  const MachIdx ghost = w.leader->fleet().Find("m-1");
+  ASSERT_NE(ghost, kNone);
+  EXPECT_TRUE(w.leader->fleet()[ghost].gone);
+}
+
+TEST(Anew, AWorkerThatCameBackAtOnceUnderItsNameIsUsedAgain) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(30);
+  ASSERT_EQ(a.started.size(), 1U);
+  a.report.session = 1;
+  a.report.seq = 0;
+  a.report.token = 0;
+  a.report.tasks.clear();
+  w.Pass(3);
+  EXPECT_EQ(a.started.size(), 2U);
+  EXPECT_TRUE(a.Has("job-1/0"));
+}
+
+TEST(Anew, ALateCommandToItsPredecessorIsShutOutOnceItWasGreeted) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Pass(30);
+  a.hold = 1;
+  w.Submit(w.Array("job-1", 1));
+  w.clock.now += 0.1;
+  w.Settle();
+  w.Ask(UserOp::kCancel, "job-1");
+  a.report.seq = 0;
+  a.report.token = 0;
+  w.Pass(4);
+  a.Late();
+  EXPECT_FALSE(a.Has("job-1/0"));
+}
+
+TEST(Odd, WhatCanNotBeIsCountedAndChangesNothing) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  Report odd = a.report;
+  odd.seq += 1000;
+  odd.tasks.clear();
+  odd.token = UINT64_MAX;  // no controller gave it: our lease is trusted
+  w.leader->OnReport(odd);
+  EXPECT_FALSE(w.deposed);
+  odd.token = a.report.token;
+  odd.zone = "west";
+  w.leader->OnReport(odd);
+  w.Pass(1);
+  EXPECT_EQ(a.started.size(), 1U);
+  EXPECT_EQ(w.leader->odd(), 2U);
+  w.lease.until = w.clock.now - 1;
+  odd.token = (w.leader->term() + 1) << kTermShift;
+  w.leader->OnReport(odd);
+  EXPECT_TRUE(w.deposed);
+}
+
+TEST(Isolated, AHolderWithoutStateServiceAndPeersSoonIsNotHealthy) {
+  Health h("n0");
+  EXPECT_FALSE(h.Up(0));
+  h.Note(1, "n0", true, 0.1);
+  EXPECT_TRUE(h.Up(1));
+  for (double t = 1; t < 12; t += 0.5) h.Note(t, "n0", false, t - 1);
+  EXPECT_FALSE(h.Up(12));
+  // A follower that can reach neither its leader nor a peer.
+  Health f("n1");
+  f.Note(1, "n0", false, 0.1);
+  for (double t = 1; t < 12; t += 0.5) f.Note(t, "", false, t - 1);
+  EXPECT_FALSE(f.Up(12));
+  // While the others are there, a change of leaders is no reason to leave.
+  Health g("n2");
+  g.Note(1, "n0", false, 0.1);
+  for (double t = 1; t < 12; t += 0.5) g.Note(t, "", false, 0.2);
+  EXPECT_TRUE(g.Up(12));
+}
+
+TEST(Restart, TheWordOfAProcessThatHasNotAskedTheStateServiceDoesNotProlongAHold) {
+  Quiet quiet(2);
+  quiet.Heard(0, 10, true);
+  quiet.Heard(1, 10, true);
+  EXPECT_EQ(quiet.Since(11), 10);
+  quiet.Heard(0, 20, true);
+  quiet.Heard(1, 20, false);
+  EXPECT_EQ(quiet.Since(21), 10);
+  quiet.Heard(1, 22, true);
+  quiet.Heard(0, 5, true);  // held back on its way
+  EXPECT_EQ(quiet.Since(23), 20);
+}
+
+TEST(Forgotten, ALoadThatFailsHalfWayStartsOver) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  for (int i = 0; i < 80; ++i) {
+    JobSpec spec = w.Array("job-" + std::to_string(i), 1, 0.05);
+    spec.memory_gb = 0.1;
+    w.Submit(spec);
+  }
+  w.Pass(2);
+  ASSERT_EQ(a.started.size(), 80U);
+  w.state.list_page = 1;
+  w.state.fail_lists_after = 2;
+  w.Lead();
+  w.Pass(3);
+  EXPECT_EQ(w.leader->book().live().size(), 80U);
+  EXPECT_EQ(a.started.size(), 80U);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-7").running, 1U);
+}
+
+TEST(Forgotten, WhatAnUnreadablePageHeldIsNotDenied) {
+  World w;
+  w.Lead();
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(1);
+  for (auto& [key, entry] : w.state.keys) {
+    if (key.starts_with("deckhall/pages/")) entry.value = "[broken";
+  }
+  w.Lead();
+  w.Pass(3);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").status, 503);
+  EXPECT_EQ(w.Submit(w.Array("job-2", 1)).status, 201);
+}
+
+// A cloud outage must not keep the tasks of a silent machine for ever: found by
+// reading, its lease was no longer looked at once its return was under way.
+TEST(Forgotten, TasksOfAMachineThatCanNotBeReturnedStartElsewhereAfterItsLease) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 1));
+  w.Pass(1);
+  auto& b = w.Machine("m-2", "east");
+  a.silent = true;
+  w.cloud.out = true;
+  w.Pass(w.settings.lease_s - 2);
+  EXPECT_FALSE(b.Has("job-1/0"));
+  w.Pass(5);
+  EXPECT_TRUE(b.Has("job-1/0"));
+}
+
+TEST(Served, AJobIsNotPassedOverForEver) {
+  World w;
+  w.cloud.refuse = true;
+  w.tuning.headroom_share = 0;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  JobSpec idle = w.Array("job-9999", 8);
+  idle.team = "red";
+  idle.priority = Priority::kIdle;
+  idle.estimate_s = 500;
+  w.Submit(w.Array("job-0", 4));
+  w.Pass(1);
+  w.Submit(idle);
+  // A stream of jobs within another team's guarantee takes every freed place.
+  for (int i = 1; i <= 160 && Started(a, "job-9999") == 0; ++i) {
+    const std::string now = "job-" + std::to_string(i);
+    w.Submit(w.Array(now, 4));
+    const std::string before = "job-" + std::to_string(i - 1);
+    for (int t = 0; t < 4; ++t) a.End(before + "/" + std::to_string(t), ExitWhy::kDone);
+    w.Pass(2);
+    if (i * 2 < w.tuning.passed_over_s - 4) {
+      ASSERT_EQ(Started(a, "job-9999"), 0U) << i;
+    }
+  }
+  EXPECT_GT(Started(a, "job-9999"), 0U);
+}
+
+TEST(Size, ThePlanHasNoLimitBelowWhatTheSettingsAllow) {
+  World w;
+  w.settings.max_sockets = 4000;
+  w.settings.teams = {{"blue", 0, 0, 0, 0}};
+  w.Lead();
+  w.Submit(w.Service("job-1", 700, 8));
+  w.Pass(4);
+  int machines = 0;
+  for (const auto& [request, count] : w.cloud.rented) {
+    EXPECT_LE(count, 50);
+    machines += count;
+  }
+  EXPECT_GE(machines, 700);
+}
+
+// The work for a message is the same on a large fleet, and a pass makes anew only
+// what changed.
+TEST(Size, TheWorkPerMessageDoesNotGrowWithTheFleet) {
+  auto work = [](int machines) {
+    World w;
+    w.cloud.refuse = true;
+    w.settings.max_sockets = 4000;
+    w.settings.teams = {{"blue", 0, 0, 0, 0}};
+    w.Lead();
+    for (int i = 0; i < machines; ++i) w.Machine("m-" + std::to_string(i), "east");
+    w.Submit(w.Array("job-1", static_cast<uint32_t>(machines)));
+    w.Pass(3);
+    auto& one = w.workers.at["m-0:1"];
+    const uint64_t before = w.leader->steps();
+    for (int i = 0; i < 10; ++i) {
+      w.ReportNow(&one);
+      w.leader->Tick();
+    }
+    const uint64_t message = w.leader->steps() - before;
+    w.clock.now += 0.3;
+    w.leader->Tick();
+    return std::make_pair(message, w.leader->steps() - before - message);
+  };
+  const auto few = work(10);
+  const auto many = work(300);
+  EXPECT_LE(many.first, few.first + 5);
+  // One sweep; nothing changed, so no node is made anew.
+  EXPECT_LE(many.second, 300U + few.second);
+}
+
+}  // namespace
+}  // namespace deckhall
