--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -29,12 +29,14 @@
 
 // The paper's delay scheduling: while jobs compete, one that would first have to
 // fetch its image lets the room pass, for as long as the fetch would take.
-double Placer::Patience(const Job& job) const {
+double Placer::Patience(const Job& job) const { return tuning_->delay_fetches * FetchSeconds(job); }
+
+double Placer::FetchSeconds(const Job& job) const {
   double rate = 0;
   for (const MachineType& t : rentals_->types()) {
     rate = rate == 0 ? t.fetch_gb_per_s : std::min(rate, t.fetch_gb_per_s);
   }
-  return rate > 0 ? tuning_->delay_fetches * job.spec.image_gb / rate : 0;
+  return rate > 0 ? job.spec.image_gb / rate : 0;
 }
 
 void Placer::Put(JobIdx j, uint32_t node, uint64_t attempt) {
@@ -53,7 +55,7 @@
   });
 }
 
-void Placer::PlaceSome(JobIdx j) {
+void Placer::PlaceSome(JobIdx j, bool here, size_t most) {
   Job& job = (*book_)[j];
   const double now = clock_->Now();
   if (!job.told || job.waiting.empty() || now < job.backoff_until) return;
@@ -67,9 +69,10 @@
   need.siblings = &on;
   need.cached_only =
       contended_ && !job.spec.service && !job.guaranteed && now - job.waiting_since < Patience(job);
+  need.here_only = here;
   if (InVain(need)) return;
   // A job that keeps failing shows its worth with one task at a time.
-  const int most = job.fail_streak >= 3 ? (job.placed > 0 ? 0 : 1) : INT32_MAX;
+  if (job.fail_streak >= 3) most = std::min<size_t>(most, job.placed > 0 ? 0 : 1);
   const double reserve = job.spec.service ? 0 : rooms_->headroom() * tuning_->headroom_free;
   auto ordinary = [&] {
     // Ordinary room that replicas may need soon is not given to arrays.
@@ -78,12 +81,12 @@
   if (!ordinary() && (!job.spec.spot || rooms_->free_spot() + kEps < job.spec.cores)) return;
   Picker picker(&need, &rooms_->nodes(), open_);
   rooms_->steps += open_.size();
-  int placed = 0;
+  size_t placed = 0;
   while (!job.waiting.empty() && placed < most && rooms_->TeamRoom(job)) {
     if (placed > 0 && !rooms_->ZoneRoom(job, on, &zones)) break;
     const int at = picker.Next(ordinary());
     if (at < 0) {
-      if (placed == 0 && job.spec.service && need.zones == nullptr) {
+      if (placed == 0 && job.spec.service && !here && need.zones == nullptr) {
         vain_.push_back(
             {need.cores, need.memory_gb, need.gpus, need.zone, need.spot_ok, need.types});
       }
@@ -194,13 +197,15 @@
 
 // Makes room for tasks of a job that may claim it: a higher priority, or a
 // guarantee against what another team runs beyond its own.
-void Placer::Preempt(JobIdx j) {
+size_t Placer::Preempt(JobIdx j, bool here, size_t most) {
   const Job& job = (*book_)[j];
-  if (!job.told || job.waiting.empty() || !rooms_->TeamRoom(job)) return;
+  if (!job.told || job.waiting.empty() || !rooms_->TeamRoom(job)) return 0;
+  if (clock_->Now() < job.backoff_until || job.fail_streak >= 3) return 0;
+  if (++preempting_ > kMostPreempting) return 0;
   std::vector<char> zones;
-  if (!rooms_->ZoneRoom(job, job.on, &zones)) return;
+  if (!rooms_->ZoneRoom(job, job.on, &zones)) return 0;
   const Need need = rooms_->NeedOf(job, zones, job.on);
-  auto wanted = std::min(job.waiting.size(), kMostStopped);
+  auto wanted = std::min({job.waiting.size(), kMostStopped, most});
   wanted = std::min(wanted, static_cast<size_t>(std::max(
                                 0.0, rooms_->TeamLeft(job.team) / std::max(job.spec.cores, 1e-3))));
   struct Choice {
@@ -208,13 +213,18 @@
     MachIdx machine;
     std::vector<size_t> slots;
   };
+  const size_t all = wanted;
+  // To spare it the fetch, no more work is lost than the fetch would hold up.
+  const double bearable =
+      here ? tuning_->stop_for_image * FetchSeconds(job) * job.spec.cores : 1e18;
   std::vector<Choice> choices;
   for (MachIdx mi : fleet_->active()) {
-    if (wanted == 0) return;
+    if (wanted == 0) return all;
     const Machine& m = (*fleet_)[mi];
     const Node& room = rooms_->nodes()[mi];
     if (!room.usable || !Allows(need, room.type, room.zone, room.spot)) continue;
     ++rooms_->steps;
+    if (here && std::find(m.images.begin(), m.images.end(), job.image) == m.images.end()) continue;
     if (job.spec.service && m.lodger_cores + room.cores + kEps < job.spec.cores) continue;
     Node node;
     node.cores = room.cores;
@@ -243,12 +253,12 @@
     }
     std::vector<size_t> chosen;
     const double loss = Loss(job, m, &node, &chosen);
-    if (loss >= 0) choices.push_back({loss, mi, std::move(chosen)});
+    if (loss >= 0 && loss <= bearable) choices.push_back({loss, mi, std::move(chosen)});
   }
   std::stable_sort(choices.begin(), choices.end(),
                    [](const Choice& a, const Choice& b) { return a.loss < b.loss; });
   for (const Choice& choice : choices) {
-    if (wanted == 0) return;
+    if (wanted == 0) break;
     --wanted;
     Claim& c = claims_[choice.machine];
     c.cores += need.cores;
@@ -264,6 +274,20 @@
       fleet_->Unwant(choice.machine, &s, saves ? other.spec.save_s + 1 : 0);
     }
   }
+  return all - wanted;
+}
+
+// Where the image is, a replica runs at once: there is room, or is made by stopping
+// arrays. The rest goes where the image must be fetched.
+void Placer::PlaceService(JobIdx j) {
+  const Job& job = (*book_)[j];
+  PlaceSome(j, true, SIZE_MAX);
+  if (job.waiting.empty()) return;
+  size_t coming = 0;
+  if (FetchSeconds(job) > tuning_->long_fetch_s) coming = Preempt(j, true, job.waiting.size());
+  if (coming >= job.waiting.size()) return;
+  PlaceSome(j, false, job.waiting.size() - coming);
+  if (job.waiting.size() > coming) Preempt(j, false, job.waiting.size() - coming);
 }
 
 void Placer::Pass() {
@@ -292,18 +316,11 @@
   std::stable_sort(services.begin(), services.end(), [this](JobIdx a, JobIdx b) {
     return (*book_)[a].spec.priority > (*book_)[b].spec.priority;
   });
-  int preempting = 0;
-  for (JobIdx j : services) {
-    PlaceSome(j);
-    const Job& job = (*book_)[j];
-    if (!job.waiting.empty() && now >= job.backoff_until && preempting < kMostPreempting) {
-      ++preempting;
-      Preempt(j);
-    }
-  }
+  preempting_ = 0;
+  for (JobIdx j : services) PlaceService(j);
   // Then the best-ranked array with a task that fits.
   contended_ = waiting > rooms_->free_ordinary() + rooms_->free_spot();
-  int starved = 0;
+  preempting_ = kMostPreempting / 2;
   for (JobIdx j : ranking_->order()) {
     const Job& job = (*book_)[j];
     if (job.life != JobLife::kLive || job.waiting.empty()) continue;
@@ -311,11 +328,11 @@
       PlaceGang(j);
       continue;
     }
-    PlaceSome(j);
-    if (!job.waiting.empty() && job.guaranteed && now >= job.backoff_until &&
-        starved < kMostPreempting / 2) {
-      ++starved;
-      Preempt(j);
+    PlaceSome(j, false, SIZE_MAX);
+    // Most of what runs ends soon by itself: only then is work thrown away.
+    if (!job.waiting.empty() && job.guaranteed &&
+        now - job.waiting_since >= tuning_->preempt_after_s) {
+      Preempt(j, false, job.waiting.size());
     }
   }
 }
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -33,15 +33,20 @@
     double memory_gb = 0;
   };
 
-  void PlaceSome(JobIdx j);
+  // Places up to `most` waiting tasks; `here`: only where the image is already.
+  void PlaceSome(JobIdx j, bool here, size_t most);
+  void PlaceService(JobIdx j);
   void PlaceGang(JobIdx j);
   void HoldFor(const Need& need, uint32_t tasks);
-  void Preempt(JobIdx j);
+  // Makes room for up to `most` tasks; returns for how many it is on its way.
+  size_t Preempt(JobIdx j, bool here, size_t most);
+  // Seconds to fetch its image, on the slowest type.
+  double FetchSeconds(const Job& job) const;
   double Patience(const Job& job) const;
   bool InVain(const Need& need) const;
   void Put(JobIdx j, uint32_t node, uint64_t attempt);
-  // What stopping tasks on the machine for the job would lose; the slots in
-  // `chosen`. Negative: no room can be made.
+  // What stopping tasks on the machine for the job would lose, in core-seconds; the
+  // slots in `chosen`. Negative: no room can be made.
   double Loss(const Job& job, const Machine& m, Node* node, std::vector<size_t>* chosen) const;
 
   JobBook* book_;
@@ -54,6 +59,7 @@
   std::vector<uint32_t> open_;
   std::vector<Vain> vain_;
   std::unordered_map<MachIdx, Claim> claims_;  // room on its way that is spoken for
+  int preempting_ = 0;                         // jobs this pass looked for tasks to stop for
   bool contended_ = false;                     // more tasks wait than there is room
 };
 
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -288,7 +288,7 @@
     if (!rooms_->ZoneRoom(job, on, &zones)) continue;
     Need need = rooms_->NeedOf(job, zones, on);
     need.patient = false;
-    need.cached_only = true;
+    need.here_only = true;
     const std::vector<uint32_t> open = rooms_->Open(job.spec.cores);
     // It is itself drained, and so not among them.
     if (Picker(&need, &rooms_->nodes(), open).Next(true) < 0) continue;
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -31,7 +31,8 @@
   bool spot_ok = false;
   bool service = false;
   bool patient = false;      // late already: may seed caches
-  bool cached_only = false;  // waits for a machine with its image
+  bool cached_only = false;  // waits for a machine with its image, or getting it
+  bool here_only = false;    // the image must be there already
   uint32_t image = UINT32_MAX;
   double image_gb = 0;
   const std::vector<uint32_t>* avoid = nullptr;     // machines it failed on
