--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -172,7 +172,8 @@
     const bool beyond = job.guaranteed && !other.guaranteed && other.team != job.team &&
                         theirs != nullptr && rooms_->UseOf(other.team).cores > theirs->cores + kEps;
     if (!lower && !beyond) continue;
-    const double ran = s.running_since < 0 ? 0 : now - s.running_since;
+    // A fetch given up is lost like a run.
+    const double ran = now - (s.running_since < 0 ? s.launched_at : s.running_since);
     const double lost =
         other.spec.checkpoint_s > 0 ? std::min(ran, other.spec.checkpoint_s / 2) : ran;
     victims.emplace_back(s.cores * lost, i);
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -39,9 +39,12 @@
   const bool cached = Has(n.images, need.image);
   // One fetch serves all tasks there that need the image.
   const bool coming = !cached && Has(&n.coming, need.image);
+  // A replica that must wait for a fetch waits anywhere: on a machine of its own it
+  // brings the image to one more place where later ones start at once.
   if (need.cached_only && !cached && !coming) return false;
   if (need.here_only && !cached) return false;
-  const double fetch_s = need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming ? 0.5 : 1.0);
+  const double fetch_s =
+      need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming && !need.service ? 0.5 : 1.0);
   if (need.patient) {
     // Its start is late anyway. A machine that gets the image now can start
     // later replicas at once.
