--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -89,6 +89,7 @@
   // Ranking.
   double left = 0;    // core-seconds left in the imagined run
   double finish = 0;  // when the imagined run completes it
+  uint32_t rank = 0;  // among the arrays; 0 goes first
   double saved_left = -1;
   bool guaranteed = false;
 
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -172,6 +172,9 @@
     const bool beyond = job.guaranteed && !other.guaranteed && other.team != job.team &&
                         theirs != nullptr && rooms_->UseOf(other.team).cores > theirs->cores + kEps;
     if (!lower && !beyond) continue;
+    // What is ranked before it would take the freed room again: stopped and placed
+    // anew without end.
+    if (!job.spec.service && other.rank < job.rank) continue;
     // A fetch given up is lost like a run.
     const double ran = now - (s.running_since < 0 ? s.launched_at : s.running_since);
     const double lost =
@@ -218,12 +221,16 @@
   // To spare it the fetch, no more work is lost than the fetch would hold up.
   const double bearable =
       here ? tuning_->stop_for_image * FetchSeconds(job) * job.spec.cores : 1e18;
+  // Room that arrays may not take is not made for them.
+  const bool ordinary = job.spec.service || rooms_->free_ordinary() + kEps >=
+                                                rooms_->headroom() * tuning_->headroom_free;
   std::vector<Choice> choices;
   for (MachIdx mi : fleet_->active()) {
     if (wanted == 0) return all;
     const Machine& m = (*fleet_)[mi];
     const Node& room = rooms_->nodes()[mi];
     if (!room.usable || !Allows(need, room.type, room.zone, room.spot)) continue;
+    if (!ordinary && !room.spot) continue;
     ++rooms_->steps;
     if (here && std::find(m.images.begin(), m.images.end(), job.image) == m.images.end()) continue;
     if (job.spec.service && m.lodger_cores + room.cores + kEps < job.spec.cores) continue;
--- a/src/leader/ranking.cc
+++ b/src/leader/ranking.cc
@@ -107,6 +107,9 @@
     if (x.submitted_wall != y.submitted_wall) return x.submitted_wall < y.submitted_wall;
     return x.id < y.id;
   });
+  for (size_t i = 0; i < arrays.size(); ++i) {
+    (*book_)[arrays[i]].rank = static_cast<uint32_t>(i);
+  }
   order_ = std::move(arrays);
   ranked_at_ = now;
   due_ = now + tuning_->refresh_s;
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -470,6 +470,27 @@
   EXPECT_TRUE(a.Has("job-2/0"));
 }
 
+// Found on a grown deployment's steady day: an idle job ranked first was stopped for a
+// normal one, and placed again before it, 150 times.
+TEST(Placer, AJobIsNotStoppedForOneThatIsRankedBehindIt) {
+  World w;
+  w.settings.teams = {{"blue", 100, 0, 0, 0}};
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  JobSpec small = w.Array("job-1", 4);
+  small.priority = Priority::kIdle;
+  small.estimate_s = 5;
+  w.Submit(small);
+  w.Pass(1);
+  JobSpec large = w.Array("job-2", 40);
+  large.estimate_s = 500;
+  w.Submit(large);
+  w.Pass(w.tuning.preempt_after_s + 3);
+  EXPECT_EQ(a.started.size(), 4U);
+  EXPECT_TRUE(a.Has("job-1/0"));
+}
+
 TEST(Placer, AGangStartsAsAWholeUnderOneAttempt) {
   World w;
   w.cloud.refuse = true;
