--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -369,7 +369,12 @@
       book_->Done(slot->job, slot->task);
       if (job.life == JobLife::kLive) {
         if (job.done == job.tasks.size()) {
-          spdlog::info("job {} is done", job.id);
+          const double late = book_->Lateness(slot->job, clock_->Wall());
+          if (late > 0) {
+            spdlog::info("job {} is done, {:.1f} s past its deadline", job.id, late);
+          } else {
+            spdlog::info("job {} is done", job.id);
+          }
           book_->End(slot->job, JobLife::kDone, clock_->Now());
         } else {
           book_->Save(slot->job, false);
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -299,6 +299,9 @@
     if (!job.told && book_.Durable(j)) {
       job.told = true;
       fleet_.changed = true;
+      spdlog::info("job {} accepted: {} of {}, {} tasks of {} cores, estimate {} s, deadline {} s",
+                   job.id, job.spec.klass, job.spec.team, job.spec.tasks, job.spec.cores,
+                   job.spec.estimate_s, job.spec.deadline_s.value_or(0));
     }
   }
   for (JobIdx j : book_.fading()) {
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -197,7 +197,11 @@
 void Mesh::Hangup(Link* link) {
   if (!link->tcp) return;
   const double now = clock_->Now();
-  if (!link->tcp->connected() && now - link->tried < kRefusedWithin) link->refused = now;
+  const bool refused = !link->tcp->connected() && now - link->tried < kRefusedWithin;
+  if (refused) link->refused = now;
+  if (now - link->heard < kRedial * 4) {
+    spdlog::info("the way to {} is {}", link->peer.label, refused ? "refused" : "lost");
+  }
   link->tcp->Abandon();
   dropped_.push_back(std::move(link->tcp));
   reaper_.Start(0);
--- a/src/state/job_book.cc
+++ b/src/state/job_book.cc
@@ -217,6 +217,12 @@
          store_->Durable(job.chunks[part - 1]);
 }
 
+double JobBook::Lateness(JobIdx j, double wall) const {
+  const Job& job = jobs_[j];
+  if (!job.spec.deadline_s) return -1;
+  return wall - job.submitted_wall - *job.spec.deadline_s;
+}
+
 void JobBook::Place(JobIdx j, uint32_t task, MachIdx machine, uint64_t attempt) {
   Job& job = jobs_[j];
   Task& t = job.tasks[task];
--- a/src/state/job_book.h
+++ b/src/state/job_book.h
@@ -32,6 +32,8 @@
   // True when what was last saved of the job is in the state service.
   bool Durable(JobIdx j) const;
   bool TaskDurable(JobIdx j, uint32_t task) const;
+  // Seconds past its deadline; negative before it, and without one.
+  double Lateness(JobIdx j, double wall) const;
 
   // Phase changes keep the counts right.
   void Place(JobIdx j, uint32_t task, MachIdx machine, uint64_t attempt);
