--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -14,6 +14,10 @@
 constexpr double kReportRelayTimeout = 2.0;
 constexpr double kRetiredFor = 15;  // longer than any request of a leader lasts
 constexpr double kLogEvery = 60;
+// A leader that can't reach most workers for so long lets another one lead, and
+// runs again only after a while.
+constexpr double kUnreachedFor = 2;
+constexpr double kStepAside = 20;
 
 uint64_t RandomInstance() {
   std::random_device device;
@@ -91,6 +95,9 @@
   const bool holding = leader_ && leader_->loaded();
   mesh_.SetLeading(holding && election_.Trusted(), holding, election_.term());
   if (leader_) leader_->Tick();
+  if (leader_ && leader_->UnreachedFor() > kUnreachedFor && mesh_.Silence() < kUnreachedFor / 2) {
+    election_.StepDown("most workers can't be reached from here", kStepAside);
+  }
   std::erase_if(retired_, [now](const Retired& r) { return now - r.since > kRetiredFor; });
   health_.Note(now, mesh_.Leader(), election_.Trusted(), mesh_.Silence());
   if (now >= next_log_) {
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -39,6 +39,12 @@
     return;
   }
   if (busy_ || now < next_) return;
+  if (stage_ == Stage::kGranting && now < not_before_) {
+    // Somebody else may hold it by now.
+    stage_ = Stage::kLooking;
+    Retry(0.3);
+    return;
+  }
   if (stage_ == Stage::kLooking) Look();
   if (stage_ == Stage::kGranting) RunForIt();
 }
@@ -191,6 +197,14 @@
   });
 }
 
+void Election::StepDown(const char* why, double pause_s) {
+  if (stage_ != Stage::kHolding) return;
+  const uint64_t lease = lease_;
+  not_before_ = clock_->Now() + pause_s;
+  Abdicate(why);
+  state_->Drop(lease, [](const StateAnswer&) {});
+}
+
 void Election::Abdicate(const char* why) {
   if (stage_ != Stage::kHolding) return;
   spdlog::warn("no longer leading term {}: {}", term_, why);
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -40,6 +40,8 @@
 
   // A higher term exists, or a write met one: stop at once.
   void Abdicate(const char* why);
+  // Others can lead better now: gives the lease back and lets them go first.
+  void StepDown(const char* why, double pause_s);
 
   std::function<void(uint64_t term)> on_won;
   // The state service showed that no term above this one has begun yet.
@@ -73,6 +75,7 @@
   double trusted_until_ = -1;
   double granted_at_ = 0;
   double next_ = 0;
+  double not_before_ = -1;  // runs for it no sooner
 };
 
 }  // namespace deckhall
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -56,6 +56,9 @@
 
   JobBook& book() { return book_; }
   Fleet& fleet() { return fleet_; }
+  // For how long most machines have answered nothing, though their reports come by
+  // other nodes: the fault is then on this node's way to them. 0: they do.
+  double UnreachedFor() const;
   // Machines and nodes looked at so far, to bound the work as the fleet grows.
   uint64_t steps() const { return rooms_.steps + looked_at_; }
   // Reports and answers that did not fit what is known.
@@ -124,7 +127,9 @@
   double lost_at_ = -1e9;  // a machine was found lost
   size_t silent_machines_ = 0;
   size_t deaf_machines_ = 0;
-  size_t few_ = 2;  // so many may fail at once without the way being suspected
+  double unreached_since_ = -1;
+  bool many_silent_ = false;  // so many that the fault is rather here
+  size_t few_ = 2;            // so many may fail at once without the way being suspected
   int load_tries_ = 0;
   uint64_t looked_at_ = 0;
   uint64_t odd_ = 0;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -15,6 +15,9 @@
 // the way or here.
 constexpr double kFewOfFleet = 0.08;
 constexpr size_t kFewAtLeast = 2;
+constexpr double kManyOfFleet = 0.3;
+constexpr double kMostOfFleet = 0.5;
+constexpr size_t kFleetToJudge = 6;
 
 // While machines are being lost, the others are asked after so much more often.
 constexpr double kAlarm = 3;
@@ -262,7 +265,9 @@
   // say nothing: returning it would kill what runs well.
   const bool behind_cut =
       m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone]);
-  if (behind_cut) limit = std::max(limit, tuning_->lost_behind_cut_s);
+  // So does losing the way to the workers ourselves: those that reported here need
+  // two timeouts to find another node.
+  if (behind_cut || many_silent_) limit = std::max(limit, tuning_->lost_behind_cut_s);
   if (silent > limit && m.probe_fails >= 2) {
     // Returning it ends whatever it still holds: sooner than its lease would.
     rentals_.Return(mi, "silent");
@@ -320,6 +325,17 @@
     if (m.failing_since >= 0 && m.fails >= 2) ++deaf_machines_;
   }
   looked_at_ += fleet_.active().size();
+  const auto fleet = static_cast<double>(up);
+  many_silent_ =
+      up >= kFleetToJudge && static_cast<double>(silent_machines_) > fleet * kManyOfFleet;
+  const bool unreached =
+      up >= kFleetToJudge && static_cast<double>(deaf_machines_) > fleet * kMostOfFleet;
+  if (!unreached) {
+    unreached_since_ = -1;
+  } else if (unreached_since_ < 0) {
+    unreached_since_ = now;
+    spdlog::warn("{} of {} machines answer nothing, though many report", deaf_machines_, up);
+  }
   few_ = std::max(kFewAtLeast, static_cast<size_t>(static_cast<double>(up) * kFewOfFleet));
   // As often as the budget allows, and rather while machines are being lost.
   const double rate = MessagesPerSecond(*settings_, *tuning_) * tuning_->probe_share;
@@ -333,6 +349,10 @@
   FadeJobs();
 }
 
+double Leader::UnreachedFor() const {
+  return unreached_since_ < 0 ? 0 : ports_.clock->Now() - unreached_since_;
+}
+
 void Leader::Notice(MachIdx mi) {
   Machine& m = fleet_[mi];
   const double left = m.notice_until - ports_.clock->Now();
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -112,6 +112,39 @@
   EXPECT_EQ(v.won, 1);
 }
 
+TEST(Election, WhoStepsDownGivesTheLeaseBackAndLetsOthersGoFirst) {
+  ElectionWorld w;
+  w.Pass(1);
+  ASSERT_EQ(w.won, 1);
+  w.election.StepDown("test", 10);
+  EXPECT_FALSE(w.election.Trusted());
+  w.Pass(1);
+  EXPECT_FALSE(w.state.keys.contains(Election::kKey));
+  EXPECT_EQ(w.won, 1);
+  w.Pass(12);  // nobody else wanted it
+  EXPECT_EQ(w.won, 2);
+}
+
+// What a restarted process may say of terms: see Quiet.
+TEST(Election, TellsWhatTheStateServiceShowsOfTerms) {
+  ElectionWorld w;
+  uint64_t known = 0;
+  w.election.on_known = [&known](uint64_t bound) { known = bound; };
+  w.state.refuse = true;
+  w.Pass(1);
+  EXPECT_EQ(known, 0U);
+  w.state.refuse = false;
+  w.state.leases[5] = true;
+  w.state.keys[Election::kKey] = {R"({"label":"n1","instance":9,"lease":5})", 50, 5};
+  w.Pass(1);
+  EXPECT_EQ(known, 50U);
+  // Without the key every earlier term is over: none is above the revision.
+  w.state.EndLease(5);
+  for (auto& done : std::exchange(w.state.watches, {})) done(StateAnswer());
+  w.Pass(1);
+  EXPECT_EQ(known, w.state.revision - 1);  // as it was before our own claim
+}
+
 TEST(RowStore, ABurstOfSubmissionsFitsTheWriteBudget) {
   World w;
   w.Lead();
--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -77,6 +77,28 @@
   EXPECT_EQ(started, 4U);
 }
 
+// Found on an own day in which the leader lost its way to the workers: machines were
+// returned while their workers were looking for another node.
+TEST(Deaf, WhenMostFallSilentAtOnceTheFaultIsOurs) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  std::vector<FakeWorker*> all;
+  for (int i = 1; i <= 8; ++i) all.push_back(&w.Machine("m-" + std::to_string(i), "east"));
+  for (FakeWorker* m : all) m->silent = true;
+  w.Pass(w.tuning.lost_s + 3);
+  EXPECT_TRUE(w.cloud.returned.empty());
+  for (FakeWorker* m : all) {
+    m->silent = false;
+    m->deaf = true;
+  }
+  w.Pass(2);
+  EXPECT_GT(w.leader->UnreachedFor(), 0);
+  for (FakeWorker* m : all) m->deaf = false;
+  w.Pass(4);
+  EXPECT_EQ(w.leader->UnreachedFor(), 0);
+}
+
 TEST(Copies, OfASilentMachinesReportsDoNotKeepItsTasksFromStartingElsewhere) {
   World w;
   w.cloud.refuse = true;
