--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -8,8 +8,8 @@
 
 struct Tuning {
   // leader
-  double lease_ms = 1500;
-  double renew_ms = 300;
+  double lease_ms = 1000;
+  double renew_ms = 200;
   // rank
   double refresh_s = 5;
   double save_s = 5;
@@ -28,7 +28,7 @@
   double quick_lost_s = 2.2;
   double lost_s = 6.5;
   double lost_behind_cut_s = 14;
-  double takeover_wait_s = 6;
+  double takeover_wait_s = 4;
   double deaf_s = 8;
   double message_ms = 0.15;
   double probe_share = 0.1;
