--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -1,6 +1,7 @@
 #include "sched/placement.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 
 namespace deckhall {
@@ -33,6 +34,16 @@
 
 namespace {
 
+// Different images other than this one that the machine is fetching.
+int OtherFetches(const Node& n, uint32_t image) {
+  int others = 0;
+  for (size_t i = 0; i < n.coming.size(); ++i) {
+    const auto end = n.coming.begin() + static_cast<ptrdiff_t>(i);
+    if (n.coming[i] != image && std::find(n.coming.begin(), end, n.coming[i]) == end) ++others;
+  }
+  return others;
+}
+
 // Seconds until it runs weigh most; then what the choice costs others.
 // False: it is no place for it now.
 bool Cost(const Need& need, const Node& n, double* cost) {
@@ -43,8 +54,10 @@
   // brings the image to one more place where later ones start at once.
   if (need.cached_only && !cached && !coming) return false;
   if (need.here_only && !cached) return false;
-  const double fetch_s =
+  double fetch_s =
       need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming && !need.service ? 0.5 : 1.0);
+  // Images fetched there at the same time share the rate.
+  if (need.service) fetch_s *= 1 + OtherFetches(n, need.image);
   if (need.patient) {
     // Its start is late anyway. A machine that gets the image now can start
     // later replicas at once.
