--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -129,7 +129,8 @@
   size_t deaf_machines_ = 0;
   double unreached_since_ = -1;
   bool many_silent_ = false;  // so many that the fault is rather here
-  size_t few_ = 2;            // so many may fail at once without the way being suspected
+  size_t few_deaf_ = 2;
+  size_t few_ = 2;  // so many may fail at once without the way being suspected
   int load_tries_ = 0;
   uint64_t looked_at_ = 0;
   uint64_t odd_ = 0;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -14,6 +14,7 @@
 // With a larger part of the fleet silent or deaf at once, the trouble is rather on
 // the way or here.
 constexpr double kFewOfFleet = 0.08;
+constexpr double kFewDeaf = 0.02;
 constexpr size_t kFewAtLeast = 2;
 constexpr double kManyOfFleet = 0.3;
 constexpr double kMostOfFleet = 0.5;
@@ -278,7 +279,7 @@
   // Many such at once are rather a fault of the way, or of ourselves.
   limit = behind_cut ? std::max(tuning_->deaf_s, tuning_->lost_behind_cut_s) : tuning_->deaf_s;
   if (m.failing_since >= 0 && m.fails >= 3 && now - m.failing_since > limit &&
-      m.heard_at > m.failing_since && deaf_machines_ <= few_) {
+      m.heard_at > m.failing_since && deaf_machines_ <= few_deaf_) {
     rentals_.Return(mi, "deaf: it reports, but nothing reaches it");
   }
 }
@@ -337,6 +338,7 @@
     spdlog::warn("{} of {} machines answer nothing, though many report", deaf_machines_, up);
   }
   few_ = std::max(kFewAtLeast, static_cast<size_t>(static_cast<double>(up) * kFewOfFleet));
+  few_deaf_ = std::max(kFewAtLeast, static_cast<size_t>(fleet * kFewDeaf));
   // As often as the budget allows, and rather while machines are being lost.
   const double rate = MessagesPerSecond(*settings_, *tuning_) * tuning_->probe_share;
   probe_every_ = static_cast<double>(busy) / rate;
