--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -113,7 +113,6 @@
   double stop_first = -1;
   uint64_t launch_token = 0;  // of the last launch sent; 0: none
   bool seen = false;
-  bool asked_away = false;  // stopped by us for another's sake
   TaskState state = TaskState::kFetching;
   ExitWhy why = ExitWhy::kNone;
   bool gone = false;  // exited; no longer takes room
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -277,7 +277,6 @@
       const Job& other = (*book_)[s.job];
       spdlog::info("stopping {} on {} for {} ({})", s.name, (*fleet_)[choice.machine].name, job.id,
                    job.guaranteed ? "guaranteed" : "higher priority");
-      s.asked_away = true;
       const bool saves = other.spec.checkpoint_s > 0 && other.spec.save_s <= 5;
       fleet_->Unwant(choice.machine, &s, saves ? other.spec.save_s + 1 : 0);
     }
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -110,7 +110,7 @@
       usable = type != nullptr && wall - m.rented_wall < type->boot_s * tuning_->late_boot + 5;
     } else if (!usable) {
       usable = !m.drain && m.notice_until < 0 && now >= m.sick_until && m.fails < 2 &&
-               now - m.heard_at < std::max(tuning_->silent_s, settings_->report_s * 1.6);
+               rooms_->HeardLately(m);
     }
     if (!usable) continue;
     Node n;
--- a/src/leader/rooms.cc
+++ b/src/leader/rooms.cc
@@ -39,8 +39,12 @@
   // would be given tasks again and again.
   return m.up && m.accounted && !m.gone && !m.drain && !m.returning && m.notice_until < 0 &&
          Fleet::Hears(m) && m.fails < 2 && m.row != kNoRow && !m.endpoint.empty() &&
-         store_->Durable(m.row) && now >= m.sick_until && now >= m.no_room_until &&
-         now - m.heard_at < std::max(tuning_->silent_s, settings_->report_s * 1.6);
+         store_->Durable(m.row) && now >= m.sick_until && now >= m.no_room_until && HeardLately(m);
+}
+
+bool Rooms::HeardLately(const Machine& m) const {
+  const double most = std::max(tuning_->silent_s, settings_->report_s * 1.6);
+  return clock_->Now() - m.heard_at < most;
 }
 
 void Rooms::Remake(MachIdx mi) {
--- a/src/leader/rooms.h
+++ b/src/leader/rooms.h
@@ -20,6 +20,8 @@
   // Takes in what changed since the last call.
   void Refresh();
   bool Usable(const Machine& m) const;
+  // Within what reports that come as they should leave between them.
+  bool HeardLately(const Machine& m) const;
   // Whether the job could be on such a machine at all.
   static bool MayBeOn(const Job& job, const Machine& m);
   // By team index; unknown teams have none.
