--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -128,6 +128,8 @@
   size_t silent_machines_ = 0;
   size_t deaf_machines_ = 0;
   double unreached_since_ = -1;
+  double answered_ = 0;  // questions to machines of late, fading
+  double unanswered_ = 0;
   bool many_silent_ = false;  // so many that the fault is rather here
   size_t few_deaf_ = 2;
   size_t few_ = 2;  // so many may fail at once without the way being suspected
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -19,6 +19,11 @@
 constexpr double kManyOfFleet = 0.3;
 constexpr double kMostOfFleet = 0.5;
 constexpr size_t kFleetToJudge = 6;
+// Of the questions of late, fading within a second or two: with hardly an answer among
+// so many, the way is lost, however few of a large fleet could be asked yet.
+constexpr double kFade = 0.85;
+constexpr double kQuestionsToJudge = 12;
+constexpr double kHardlyAny = 0.1;
 
 // While machines are being lost, the others are asked after so much more often.
 constexpr double kAlarm = 3;
@@ -210,6 +215,7 @@
   m.do_busy = false;
   if (m.gone) return;
   const bool named = answer.has_report && answer.report.machine == m.name;
+  (named ? answered_ : unanswered_) += 1;
   if (!named) {
     ++m.do_fails;
     m.do_after = now + std::min(4.0, 0.25 * std::pow(2.0, std::min(m.do_fails, 6)));
@@ -246,6 +252,7 @@
     Machine& machine = fleet_[mi];
     machine.probing = false;
     if (machine.gone) return;
+    (a.has_report ? answered_ : unanswered_) += 1;
     if (!a.has_report || a.report.machine != machine.name || !Plausible(a.report)) {
       ++machine.probe_fails;
       machine.probe_after = ports_.clock->Now() + std::min(2.0, 0.1 * machine.fails);
@@ -329,15 +336,20 @@
   }
   looked_at_ += fleet_.active().size();
   const auto fleet = static_cast<double>(up);
-  many_silent_ =
-      up >= kFleetToJudge && static_cast<double>(silent_machines_) > fleet * kManyOfFleet;
-  const bool unreached =
-      up >= kFleetToJudge && static_cast<double>(deaf_machines_) > fleet * kMostOfFleet;
+  answered_ *= kFade;
+  unanswered_ *= kFade;
+  const bool way_lost = up >= kFleetToJudge && unanswered_ > kQuestionsToJudge &&
+                        answered_ < unanswered_ * kHardlyAny;
+  many_silent_ = way_lost || (up >= kFleetToJudge &&
+                              static_cast<double>(silent_machines_) > fleet * kManyOfFleet);
+  const bool unreached = way_lost || (up >= kFleetToJudge &&
+                                      static_cast<double>(deaf_machines_) > fleet * kMostOfFleet);
   if (!unreached) {
     unreached_since_ = -1;
   } else if (unreached_since_ < 0) {
     unreached_since_ = now;
-    spdlog::warn("{} of {} machines answer nothing, though many report", deaf_machines_, up);
+    spdlog::warn("hardly a machine answers of late ({} of {} known to be out of reach)",
+                 deaf_machines_, up);
   }
   few_ = std::max(kFewAtLeast, static_cast<size_t>(static_cast<double>(up) * kFewOfFleet));
   few_deaf_ = std::max(kFewAtLeast, static_cast<size_t>(fleet * kFewDeaf));
--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -99,6 +99,24 @@
   EXPECT_EQ(w.leader->UnreachedFor(), 0);
 }
 
+// Found on an own day: of a large fleet few can be asked, so the share known to be out
+// of reach rises slowly, and machines were given up meanwhile.
+TEST(Deaf, OfALargeFleetAFewQuestionsTellThatTheWayIsLost) {
+  World w;
+  w.cloud.refuse = true;
+  w.settings.max_sockets = 4000;
+  w.settings.teams = {{"blue", 0, 0, 0, 0}};
+  w.tuning.message_ms = 5;  // twenty questions a second
+  w.Lead();
+  for (int i = 0; i < 120; ++i) w.Machine("m-" + std::to_string(i), "east");
+  w.Submit(w.Array("job-1", 120, 8));
+  w.Pass(5);
+  for (auto& [endpoint, m] : w.workers.at) m.silent = true;
+  w.Pass(w.tuning.lost_s + 3);
+  EXPECT_TRUE(w.cloud.returned.empty());
+  EXPECT_GT(w.leader->UnreachedFor(), 3);
+}
+
 TEST(Copies, OfASilentMachinesReportsDoNotKeepItsTasksFromStartingElsewhere) {
   World w;
   w.cloud.refuse = true;
