--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -119,6 +119,9 @@
   ports.doubtful = [this](const std::string& zone) {
     return zone != settings_.site && mesh_.Doubtful(zone);
   };
+  for (const Peer& p : settings_.siblings) {
+    if (p.label == election_.former_label()) ports.former_site = p.site;
+  }
   leader_ = std::make_unique<Leader>(ports, &settings_, &tuning_, Election::kKey, term);
   leader_->on_deposed = [this](const char* why) { election_.Abdicate(why); };
   leader_->Begin();
--- a/src/cloud/rentals.cc
+++ b/src/cloud/rentals.cc
@@ -121,7 +121,7 @@
   return false;
 }
 
-void Rentals::Start() { next_list_ = next_types_ = clock_->Now(); }
+void Rentals::Start() { started_at_ = next_list_ = next_types_ = clock_->Now(); }
 
 void Rentals::SetTypes(std::vector<MachineType> types) {
   types_ = std::move(types);
@@ -318,7 +318,8 @@
   returning_ = true;
   cloud_->Return(names, [this, which](bool ok) {
     returning_ = false;
-    next_return_ = clock_->Now() + 0.5;
+    // More are waiting: what may run on them is held up until they are gone.
+    next_return_ = clock_->Now() + (ok && which.size() == kMostReturned ? 0.05 : 0.5);
     if (!ok) return;
     for (MachIdx i : which) {
       Machine& m = (*fleet_)[i];
@@ -375,6 +376,9 @@
       // A rental whose answer is still on its way names it soon; but on a large
       // fleet there is always one.
       if (Renting() && row.age_s < options_.list_lag_s * 3) continue;
+      // The list may be older than this term: a machine that the former leader
+      // returned is still on it. One that is there reports anyway.
+      if (clock_->Now() - started_at_ < options_.list_lag_s * 2 + 1) continue;
       mi = fleet_->Add(row.name);
       Machine& m = (*fleet_)[mi];
       m.type = book_->types.Add(row.type);
--- a/src/cloud/rentals.h
+++ b/src/cloud/rentals.h
@@ -96,6 +96,7 @@
   bool listing_ = false;
   bool asking_types_ = false;
   bool returning_ = false;
+  double started_at_ = 0;
 };
 
 }  // namespace deckhall
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -444,6 +444,14 @@
   return false;
 }
 
+Command Fleet::StopOf(Slot* s) const {
+  const double now = clock_->Now();
+  if (s->stop_first < 0) s->stop_first = now;
+  // Told long ago and still there: no more time to save.
+  const bool late = now - s->stop_first > s->grace_s + kStopAgain;
+  return {CommandOp::kStop, s->name, s->attempt, late ? 0 : s->grace_s};
+}
+
 std::vector<Command> Fleet::Commands(MachIdx mi, bool launch) {
   Machine& m = machines_[mi];
   const double now = clock_->Now();
@@ -464,10 +472,7 @@
     if (s.gone && MayForget(s)) {
       out.push_back({CommandOp::kForget, s.name, s.attempt, 0});
     } else if (!s.gone && !s.keep && s.seen && now - s.stop_sent > kStopAgain) {
-      if (s.stop_first < 0) s.stop_first = now;
-      // Told long ago and still there: no more time to save.
-      const bool late = now - s.stop_first > s.grace_s + kStopAgain;
-      out.push_back({CommandOp::kStop, s.name, s.attempt, late ? 0 : s.grace_s});
+      out.push_back(StopOf(&s));
       s.stop_sent = now;
     }
   }
@@ -481,10 +486,20 @@
   return out;
 }
 
+std::vector<Command> Fleet::Stops(MachIdx mi) {
+  std::vector<Command> out;
+  for (Slot& s : machines_[mi].slots) {
+    if (!s.gone && !s.keep && s.seen) out.push_back(StopOf(&s));
+  }
+  return out;
+}
+
 void Fleet::Unanswered(MachIdx mi) {
   // Late commands die of the higher token. Without it a launch could come after
   // its attempt was cleared, and start once more.
   ++machines_[mi].token;
+  // The stops died with it.
+  for (Slot& s : machines_[mi].slots) s.stop_sent = -1e9;
   Changed(mi);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -67,6 +67,8 @@
   void UnwantJob(JobIdx job);
   // What to tell the machine now. Launches only if `launch`.
   std::vector<Command> Commands(MachIdx m, bool launch);
+  // The stops alone, told before or not: an earlier one may be lost on its way.
+  std::vector<Command> Stops(MachIdx m);
   // True when there is something to tell it.
   bool HasCommands(MachIdx m, bool launch) const;
   // An answer to a command is missing: what was sent may still come.
@@ -107,6 +109,7 @@
   // The slot takes no room any more.
   void Vacate(MachIdx m, Slot* slot);
   void EraseSlot(MachIdx m, size_t at);
+  Command StopOf(Slot* slot) const;
   void Changed(MachIdx m);
   void BeganAnew(MachIdx m, const Report& report);
 
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -153,6 +153,7 @@
   int fails = 0;              // such questions
   double hears_at = -1e9;     // it last showed that it hears
   bool suspect = false;       // said something that does not fit: ask it soon
+  bool cut = false;           // silent in a zone that is cut off: rather alive than lost
   double known_at = 0;        // first heard of, in this term
   double rented_wall = 0;
   double up_at = -1;
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -91,7 +91,7 @@
       return;
     }
   }
-  leader_label_ = label;
+  leader_label_ = former_label_ = label;
   leader_term_ = row.version;
   if (label == options_.label && instance != options_.instance && lease != 0) {
     // An earlier process under our own label: it ended, or we could not have its
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -37,6 +37,8 @@
   // The holder last seen, which may be gone by now; empty when there was none.
   const std::string& leader_label() const { return leader_label_; }
   uint64_t leader_term() const { return leader_term_; }
+  // Who held it before us, as far as was seen.
+  const std::string& former_label() const { return former_label_; }
 
   // A higher term exists, or a write met one: stop at once.
   void Abdicate(const char* why);
@@ -72,6 +74,7 @@
   uint64_t term_ = 0;
   uint64_t leader_term_ = 0;
   std::string leader_label_;
+  std::string former_label_;
   double trusted_until_ = -1;
   double granted_at_ = 0;
   double next_ = 0;
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -33,6 +33,8 @@
   std::function<bool(const std::string& zone)> doubtful;
   // A time at which surely no later term had begun; may be empty.
   std::function<double(uint64_t term)> quiet_since;
+  // The zone of whoever led before, as far as known.
+  std::string former_site;
 };
 
 class Leader {
@@ -86,6 +88,10 @@
   void Direct(MachIdx m);
   void DirectDone(MachIdx m, const WorkerAnswer& answer, Stamp asked);
   void Sweep();
+  // Finds zones that are cut off from here, with all that runs there.
+  void FindCuts();
+  // A question to a machine was answered, or not.
+  void Counted(const Machine& m, bool answered);
   void Watch(MachIdx m);
   void Lost(MachIdx m);
   void Probe(MachIdx m, bool urgent);
@@ -130,7 +136,10 @@
   double unreached_since_ = -1;
   double answered_ = 0;  // questions to machines of late, fading
   double unanswered_ = 0;
+  int in_a_row_ = 0;  // since the last answer
+  double last_answer_ = 0;
   bool many_silent_ = false;  // so many that the fault is rather here
+  std::vector<char> cut_;     // by zone: see FindCuts
   size_t few_deaf_ = 2;
   size_t few_ = 2;  // so many may fail at once without the way being suspected
   int load_tries_ = 0;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -19,11 +19,26 @@
 constexpr double kManyOfFleet = 0.3;
 constexpr double kMostOfFleet = 0.5;
 constexpr size_t kFleetToJudge = 6;
-// Of the questions of late, fading within a second or two: with hardly an answer among
-// so many, the way is lost, however few of a large fleet could be asked yet.
-constexpr double kFade = 0.85;
+// Of the questions of the last second: with hardly an answer among so many, the way is
+// lost, however few of a large fleet could be asked yet.
+constexpr double kFade = 0.5;
 constexpr double kQuestionsToJudge = 12;
 constexpr double kHardlyAny = 0.1;
+// The same, with no answer at all for so long.
+constexpr double kNoAnswerFor = 1;
+// A zone in which so few machines were heard, of so many, within this part of the
+// interval of reports, while its controllers are not heard either, is cut off. It is
+// no more when more are heard again.
+constexpr double kCutWindow = 0.6;
+constexpr double kCutBegins = 0.05;
+constexpr double kCutEnds = 0.2;
+constexpr size_t kCutLeast = 6;
+// A machine behind a cut is given up after so many leases: its tasks are gone after
+// the first, but the machine itself is soon back with its images.
+constexpr double kCutLeases = 3;
+
+// Between two questions to a machine that does not answer, at the most.
+constexpr double kRarest = 4;
 
 // While machines are being lost, the others are asked after so much more often.
 constexpr double kAlarm = 3;
@@ -94,7 +109,12 @@
   // Nobody named it before: kept once it has shown that it hears us. A late copy's
   // ghost never does.
   if (m.row == kNoRow && m.accounted && Fleet::Hears(m)) rentals_.SaveMachine(mi, true);
-  if (!m.do_busy && !m.returning) {
+  if (m.do_busy || m.returning) {
+    // What was sent straight may be lost on its way, again and again while the way is
+    // blocked, and the cloud may be out: stops go with every report, or a cancelled
+    // task could outlive its time.
+    reply.commands = fleet_.Stops(mi);
+  } else {
     // Stops and clears need no lease; launches do.
     reply.commands = fleet_.Commands(mi, trusted);
     reply.token = m.token;
@@ -215,7 +235,7 @@
   m.do_busy = false;
   if (m.gone) return;
   const bool named = answer.has_report && answer.report.machine == m.name;
-  (named ? answered_ : unanswered_) += 1;
+  Counted(m, named);
   if (!named) {
     ++m.do_fails;
     m.do_after = now + std::min(4.0, 0.25 * std::pow(2.0, std::min(m.do_fails, 6)));
@@ -252,10 +272,12 @@
     Machine& machine = fleet_[mi];
     machine.probing = false;
     if (machine.gone) return;
-    (a.has_report ? answered_ : unanswered_) += 1;
+    Counted(machine, a.has_report);
     if (!a.has_report || a.report.machine != machine.name || !Plausible(a.report)) {
       ++machine.probe_fails;
-      machine.probe_after = ports_.clock->Now() + std::min(2.0, 0.1 * machine.fails);
+      // Those known to be silent must not take the whole budget.
+      machine.probe_after = ports_.clock->Now() +
+                            std::min(kRarest, 0.1 * std::pow(2.0, std::min(machine.fails, 6) - 1));
       fleet_.Unheard(mi);
       return;
     }
@@ -263,11 +285,35 @@
   });
 }
 
+// A machine already known to be silent says nothing new about the way: many such, kept
+// behind a cut, would otherwise make the leader doubt itself.
+void Leader::Counted(const Machine& m, bool answered) {
+  if (answered) {
+    answered_ += 1;
+    in_a_row_ = 0;
+    last_answer_ = ports_.clock->Now();
+  } else if (m.probe_fails == 0 && m.do_fails == 0) {
+    unanswered_ += 1;
+    ++in_a_row_;
+  }
+}
+
 void Leader::Lost(MachIdx mi) {
   Machine& m = fleet_[mi];
   const double now = ports_.clock->Now();
   const bool waited_for = m.may_hold && !m.accounted;
   const double silent = now - std::max(m.heard_at, began_);
+  // Behind a cut its tasks run on until its lease ends; returning it sooner would end
+  // them before there is room elsewhere. What a former leader inside the cut answers
+  // lives longer still; other former leaders' machines block what may be on them.
+  const bool answered_inside =
+      m.zone != kNone && !ports_.former_site.empty() && book_.zones[m.zone] == ports_.former_site;
+  if (m.cut && (!waited_for || answered_inside)) {
+    if (silent > settings_->lease_s * kCutLeases && !waited_for) {
+      rentals_.Return(mi, "silent behind a cut");
+    }
+    return;
+  }
   double limit = waited_for                ? tuning_->takeover_wait_s
                  : silent_machines_ > few_ ? tuning_->lost_s
                                            : tuning_->quick_lost_s;
@@ -321,8 +367,56 @@
   if (!m.returning) Probe(mi, urgent);
 }
 
+void Leader::FindCuts() {
+  const double now = ports_.clock->Now();
+  const double window = settings_->report_s * kCutWindow;
+  struct Count {
+    size_t known = 0;
+    size_t heard = 0;
+  };
+  std::vector<Count> count(book_.zones.size());
+  for (MachIdx mi : fleet_.active()) {
+    const Machine& m = fleet_[mi];
+    if (m.zone == kNone || m.returning || (!m.up && (!m.may_hold || m.accounted))) continue;
+    ++count[m.zone].known;
+    if (now - m.heard_at < window) ++count[m.zone].heard;
+  }
+  cut_.resize(book_.zones.size(), 0);
+  for (uint32_t z = 0; z < cut_.size(); ++z) {
+    const std::string& name = book_.zones[z];
+    const auto known = static_cast<double>(count[z].known);
+    const auto heard = static_cast<double>(count[z].heard);
+    const bool guarded = std::any_of(settings_->siblings.begin(), settings_->siblings.end(),
+                                     [&name](const Peer& p) { return p.site == name; }) &&
+                         !(ports_.doubtful && ports_.doubtful(name));
+    const bool before = cut_[z] != 0;
+    if (name == settings_->site || count[z].known < kCutLeast) {
+      cut_[z] = 0;
+    } else if (!before) {
+      cut_[z] = now - began_ > window + 1 && !guarded && heard < known * kCutBegins;
+    } else {
+      cut_[z] = heard < known * kCutEnds;
+    }
+    if (before == (cut_[z] != 0)) continue;
+    if (before) {
+      spdlog::info("zone {}: {} of {} machines are heard again", name, heard, known);
+    } else {
+      spdlog::warn("zone {} is cut off: {} of {} machines heard of late; waiting for their leases",
+                   name, heard, known);
+    }
+  }
+  rooms_.SetCut(cut_);
+  for (MachIdx mi : fleet_.active()) {
+    Machine& m = fleet_[mi];
+    const bool cut = m.zone != kNone && cut_[m.zone] != 0 && now - m.heard_at >= window;
+    if (cut != m.cut) m.stale = true;
+    m.cut = cut;
+  }
+}
+
 void Leader::Sweep() {
   const double now = ports_.clock->Now();
+  FindCuts();
   size_t up = 0;
   size_t busy = 0;
   silent_machines_ = deaf_machines_ = 0;
@@ -338,8 +432,9 @@
   const auto fleet = static_cast<double>(up);
   answered_ *= kFade;
   unanswered_ *= kFade;
-  const bool way_lost = up >= kFleetToJudge && unanswered_ > kQuestionsToJudge &&
-                        answered_ < unanswered_ * kHardlyAny;
+  const bool hardly_any = unanswered_ > kQuestionsToJudge && answered_ < unanswered_ * kHardlyAny;
+  const bool none = in_a_row_ > kQuestionsToJudge && now - last_answer_ > kNoAnswerFor;
+  const bool way_lost = up >= kFleetToJudge && (hardly_any || none);
   many_silent_ = way_lost || (up >= kFleetToJudge &&
                               static_cast<double>(silent_machines_) > fleet * kManyOfFleet);
   const bool unreached = way_lost || (up >= kFleetToJudge &&
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -75,7 +75,8 @@
       o.price = pool.spot ? type->spot_price : type->price;
       o.boot_s = type->boot_s;
     }
-    o.refused = type == nullptr || now < pool.refused_until;
+    // What is rented behind a cut can't be used before the cut ends.
+    o.refused = type == nullptr || now < pool.refused_until || rooms_->Cut(pool.zone);
     const int pending = rentals_->Pending(static_cast<uint32_t>(p));
     o.existing = pending;
     // Machines asked for count as if they were booting.
@@ -105,6 +106,7 @@
     const Node& room = rooms_->nodes()[mi];
     if (room.cores <= kEps) continue;
     bool usable = room.usable;
+    if (m.zone != kNone && rooms_->Cut(m.zone)) continue;
     if (!m.up) {
       const MachineType* type = rentals_->TypeOf(m.type);
       usable = type != nullptr && wall - m.rented_wall < type->boot_s * tuning_->late_boot + 5;
@@ -337,7 +339,7 @@
   double free_ordinary = rooms_->free_ordinary() + rooms_->lodgers();
   for (MachIdx mi : fleet_->active()) {
     Machine& m = (*fleet_)[mi];
-    if (m.returning) continue;
+    if (m.returning || m.cut) continue;
     const MachineType* type = rentals_->TypeOf(m.type);
     const double boot = type == nullptr ? 60 : type->boot_s;
     if (ReturnIfUseless(mi, boot)) continue;
--- a/src/leader/rooms.cc
+++ b/src/leader/rooms.cc
@@ -37,9 +37,10 @@
   const double now = clock_->Now();
   // Reports alone are no proof that it hears: a machine whose commands get lost
   // would be given tasks again and again.
-  return m.up && m.accounted && !m.gone && !m.drain && !m.returning && m.notice_until < 0 &&
-         Fleet::Hears(m) && m.fails < 2 && m.row != kNoRow && !m.endpoint.empty() &&
-         store_->Durable(m.row) && now >= m.sick_until && now >= m.no_room_until && HeardLately(m);
+  return m.up && m.accounted && !m.gone && !m.drain && !m.cut && !m.returning &&
+         m.notice_until < 0 && Fleet::Hears(m) && m.fails < 2 && m.row != kNoRow &&
+         !m.endpoint.empty() && store_->Durable(m.row) && now >= m.sick_until &&
+         now >= m.no_room_until && HeardLately(m);
 }
 
 bool Rooms::HeardLately(const Machine& m) const {
@@ -115,10 +116,24 @@
   const double rate = service_rate_ * std::exp(-since / kRateMemory);
   // On a large fleet more than one machine is lost together.
   headroom_ = std::max(most * tuning_->headroom_machines, services * tuning_->headroom_share) +
-              rate * boot * tuning_->headroom_boots;
+              rate * boot * tuning_->headroom_boots + Threatened();
   CountUse();
 }
 
+// What services use behind a cut. The room is there when the leases end.
+double Rooms::Threatened() const {
+  double cores = 0;
+  if (std::find(cut_.begin(), cut_.end(), 1) == cut_.end()) return cores;
+  for (MachIdx mi : fleet_->active()) {
+    if ((*fleet_)[mi].cut) cores += (*fleet_)[mi].service_cores;
+  }
+  for (JobIdx j : book_->live()) {
+    const Job& job = (*book_)[j];
+    if (job.spec.service) cores += job.unseen * job.spec.cores;
+  }
+  return cores;
+}
+
 void Rooms::ServiceArrived(const Job& job) {
   const double now = clock_->Now();
   if (rate_at_ < 0) rate_at_ = now;
--- a/src/leader/rooms.h
+++ b/src/leader/rooms.h
@@ -2,6 +2,7 @@
 // something changed, and what each team uses.
 #pragma once
 
+#include <utility>
 #include <vector>
 
 #include "app/settings.h"
@@ -55,12 +56,17 @@
   double capacity() const { return capacity_; }
   // Cores of services that arrive.
   void ServiceArrived(const Job& job);
+  // Zones that are cut off from here, by index: nothing is rented there, and what
+  // services run there will need room elsewhere when the leases end.
+  void SetCut(std::vector<char> zones) { cut_ = std::move(zones); }
+  bool Cut(uint32_t zone) const { return zone < cut_.size() && cut_[zone] != 0; }
   // How often a node was looked at or made anew.
   uint64_t steps = 0;
 
  private:
   void Remake(MachIdx m);
   void CountUse();
+  double Threatened() const;
 
   JobBook* book_;
   Fleet* fleet_;
@@ -72,6 +78,7 @@
   std::vector<Node> nodes_;
   std::vector<Use> use_;
   std::vector<const Team*> teams_;  // by team index
+  std::vector<char> cut_;
   double free_ordinary_ = 0;
   double free_spot_ = 0;
   double lodgers_ = 0;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -153,7 +153,9 @@
 struct FakeCloud : CloudPort {
   std::vector<MachineType> types;
   std::vector<std::pair<std::string, int>> rented;  // request, count
+  std::vector<std::string> zones;                   // of the machines rented
   std::vector<std::string> returned;
+  std::vector<ListedMachine> listed;
   bool out = false;
   bool refuse = false;
   int next = 0;
@@ -169,8 +171,9 @@
   void Types(std::function<void(bool, std::vector<MachineType>)> done) override {
     queue.push_back([this, done] { done(!out, types); });
   }
-  void Rent(const std::string& request, const std::string&, const std::string&, bool, int count,
-            std::function<void(RentAnswer)> done) override {
+  void Rent(const std::string& request, const std::string&, const std::string& zone, bool,
+            int count, std::function<void(RentAnswer)> done) override {
+    zones.push_back(zone);
     rented.emplace_back(request, count);
     RentAnswer a;
     a.ok = !out && !refuse;
@@ -184,7 +187,7 @@
   }
   void List(const std::string&,
             std::function<void(bool, std::vector<ListedMachine>, bool)> done) override {
-    queue.push_back([done] { done(false, {}, false); });
+    queue.push_back([this, done] { done(!listed.empty(), listed, false); });
   }
 };
 
@@ -193,6 +196,7 @@
   Report report;
   bool silent = false;   // nothing arrives, nothing is answered
   bool deaf = false;     // reports arrive; answers and commands don't reach it
+  bool mute = false;     // commands sent straight are never answered, nor given up
   int lose_answers = 0;  // executed, answer lost
   int hold = 0;          // commands held back; see Late()
   std::vector<std::pair<uint64_t, std::pair<uint64_t, std::vector<Command>>>> held;
@@ -251,6 +255,7 @@
     FakeWorker& w = at[endpoint];
     WorkerAnswer a;
     a.sent = true;
+    if (w.mute) return;
     if (w.hold > 0) {
       --w.hold;
       w.held.push_back({token, {session, commands}});
@@ -304,6 +309,7 @@
   bool deposed = false;
   double quiet_since = -1;    // see LeaderPorts
   std::string lead_doubtful;  // zone to which the way is blocked
+  std::string former_site;    // of whoever led before
 
   World() {
     lease.clock = &clock;
@@ -333,7 +339,7 @@
     ++state.revision;
     state.keys["leader"] = {"{}", state.revision, 0};
     lease.until = 1e12;
-    LeaderPorts ports{&state, &cloud, &workers, &clock, &lease, nullptr, nullptr};
+    LeaderPorts ports{&state, &cloud, &workers, &clock, &lease, nullptr, nullptr, former_site};
     if (quiet_since >= 0) ports.quiet_since = [this](uint64_t) { return quiet_since; };
     ports.doubtful = [this](const std::string& zone) { return zone == lead_doubtful; };
     leader = std::make_unique<Leader>(ports, &settings, &tuning, "leader", state.revision);
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -317,6 +317,53 @@
   EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kCancelled);
 }
 
+// Found on the fleet's day of losses (ran_cancelled): between zones that could not reach
+// each other the stop was sent straight again and again, and reports that came meanwhile
+// were answered without it.
+TEST(Commands, CancelGoesWithEveryReportWhileTheStraightWayIsBlocked) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(1);
+  ASSERT_TRUE(a.Has("job-1/0"));
+  a.mute = true;
+  w.Ask(UserOp::kCancel, "job-1");
+  w.Pass(1);
+  EXPECT_FALSE(a.Has("job-1/0"));
+}
+
+TEST(Commands, CancelReachesAMachineWhoseReturnWaitsForTheCloud) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(1);
+  w.cloud.out = true;
+  a.silent = true;
+  w.Pass(w.tuning.quick_lost_s + 3);
+  a.silent = false;
+  w.Ask(UserOp::kCancel, "job-1");
+  w.Pass(1);
+  ASSERT_TRUE(w.cloud.returned.empty());
+  EXPECT_FALSE(a.Has("job-1/0"));
+}
+
+TEST(Commands, AStopThatWasNotAnsweredIsToldWithTheNextReport) {
+  World w;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(1);
+  a.deaf = true;  // the straight command is given up at once
+  w.Ask(UserOp::kCancel, "job-1");
+  ASSERT_TRUE(a.Has("job-1/0"));
+  a.deaf = false;
+  w.ReportNow(&a);
+  EXPECT_FALSE(a.Has("job-1/0"));
+}
+
 TEST(Commands, AFinishedTaskIsDurableBeforeItIsCleared) {
   World w;
   w.Lead();
@@ -546,6 +593,24 @@
   for (const auto& [request, count] : w.cloud.rented) EXPECT_EQ(request, name);
 }
 
+// Found on the fleet's day apart: 135 machines that the former leader had returned were
+// still listed, and taken for machines that boot.
+TEST(Rentals, AListOlderThanTheTermAddsNoMachines) {
+  World w;
+  w.cloud.refuse = true;
+  ListedMachine row;
+  row.name = "m-7";
+  row.type = "box";
+  row.zone = "east";
+  row.age_s = 100;
+  w.cloud.listed = {row};
+  w.Lead();
+  w.Pass(w.settings.cloud_lag_s * 2);
+  EXPECT_EQ(w.leader->fleet().Find("m-7"), kNone);
+  w.Pass(w.settings.cloud_lag_s + 10);
+  EXPECT_NE(w.leader->fleet().Find("m-7"), kNone);
+}
+
 TEST(Rentals, AnIdleMachineGoesBackUnlessReplicasMayNeedIt) {
   World w;
   w.tuning.idle_ordinary_boots = 0.1;
--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -117,6 +117,99 @@
   EXPECT_GT(w.leader->UnreachedFor(), 3);
 }
 
+// Eight machines in each zone; a service spread over both.
+struct TwoZones : World {
+  std::vector<FakeWorker*> east, west;
+  void Fill(uint32_t replicas) {
+    settings.teams = {{"blue", 0, 0, 0, 0}};
+    settings.site = "west";
+    settings.siblings = {{"n1", "east", {}}};
+    settings.max_sockets = 4000;
+    tuning.settled_s = 1000;  // nothing is emptied
+    tuning.headroom_machines = tuning.headroom_share = tuning.headroom_boots = 0;
+    Lead();
+    for (int i = 0; i < 8; ++i) {
+      east.push_back(&Machine("m-1" + std::to_string(i), "east"));
+      west.push_back(&Machine("m-2" + std::to_string(i), "west"));
+    }
+    JobSpec spec = Service("job-1", replicas);
+    spec.apart = true;
+    Submit(spec);
+    Pass(3);
+  }
+  size_t In(const std::vector<FakeWorker*>& zone) const {
+    size_t n = 0;
+    for (const FakeWorker* m : zone) {
+      for (const TaskReport& t : m->report.tasks) n += t.state == TaskState::kRunning ? 1 : 0;
+    }
+    return n;
+  }
+  void Cut(std::vector<FakeWorker*>* zone, bool cut) {
+    lead_doubtful = cut ? "east" : "";
+    for (FakeWorker* m : *zone) m->silent = cut;
+  }
+};
+
+// Found on the fleet's day with a zone cut off from everything: all its machines were
+// returned after 14 s, which ended a third of the replicas long before there was room
+// elsewhere, and the new ones were rented behind the cut.
+TEST(Cut, AZoneCutOffKeepsItsMachinesAndRoomIsRentedOutsideIt) {
+  TwoZones w;
+  w.Fill(64);  // all there is
+  ASSERT_EQ(w.In(w.east), 32U);
+  ASSERT_TRUE(w.cloud.zones.empty());
+  w.Cut(&w.east, true);
+  w.Pass(w.settings.lease_s - 1);
+  EXPECT_TRUE(w.cloud.returned.empty());
+  EXPECT_FALSE(w.cloud.zones.empty());
+  EXPECT_EQ(std::count(w.cloud.zones.begin(), w.cloud.zones.end(), "east"), 0);
+  EXPECT_EQ(w.In(w.west), 32U);  // nothing of the other half starts yet
+}
+
+TEST(Cut, ReplicasStartElsewhereWhenTheLeasesEndAndTheMachinesAreUsedAgain) {
+  TwoZones w;
+  w.cloud.refuse = true;
+  w.Fill(8);
+  ASSERT_EQ(w.In(w.east), 4U);
+  JobSpec loose = w.Service("job-2", 8);
+  w.Submit(loose);
+  w.Pass(2);
+  const size_t behind = w.In(w.east);
+  ASSERT_GT(behind, 4U);
+  w.Cut(&w.east, true);
+  w.Pass(w.settings.lease_s - 1);
+  const size_t before = w.In(w.west);
+  w.Pass(4);
+  EXPECT_EQ(w.In(w.west), before + behind - 4);  // those that may be in this zone
+  EXPECT_TRUE(w.cloud.returned.empty());
+  for (FakeWorker* m : w.east) NextSession(m);
+  w.Cut(&w.east, false);
+  w.Pass(4);
+  EXPECT_EQ(w.In(w.east), 4U);
+  EXPECT_TRUE(w.cloud.returned.empty());
+}
+
+// The leader was inside: it goes on answering there for its hold.
+TEST(Cut, WhatTheFormerLeaderAnswersBehindTheCutIsNotReturned) {
+  TwoZones w;
+  w.Fill(16);
+  w.Cut(&w.east, true);
+  w.former_site = "east";
+  w.Lead();
+  w.Pass(HoldSeconds(w.settings) + w.settings.lease_s - 3);
+  EXPECT_TRUE(w.cloud.returned.empty());
+  EXPECT_EQ(w.In(w.west), 8U);
+}
+
+// A zone in which some go on reporting is not cut off.
+TEST(Cut, MachinesLostInAZoneThatReportsAreReturned) {
+  TwoZones w;
+  w.Fill(16);
+  for (size_t i = 0; i < 5; ++i) w.east[i]->silent = true;
+  w.Pass(w.tuning.lost_behind_cut_s + 3);
+  EXPECT_EQ(w.cloud.returned.size(), 5U);
+}
+
 TEST(Copies, OfASilentMachinesReportsDoNotKeepItsTasksFromStartingElsewhere) {
   World w;
   w.cloud.refuse = true;
