--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -103,7 +103,8 @@
                  {cloud, "rps", &s->cloud_rps},
                  {cloud, "list_lag_s", &s->cloud_lag_s},
                  {quota, "max_sockets", &sockets},
-                 {quota, "cores", &s->cores}};
+                 {quota, "cores", &s->cores},
+                 {cluster, "time_bound_ms", &s->time_bound_ms}};
   for (const auto& n : numbers) {
     bad = ReadPositive(n.in, n.name, n.to);
     if (!bad.empty()) return bad;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -32,6 +32,7 @@
   double cloud_lag_s = 8;
   int max_sockets = 1000;
   double cores = 1;  // of the processor, for this process
+  double time_bound_ms = 1000;
 };
 
 // Sockets are shared out: most for whoever connects to us, some kept open to
--- a/src/cloud/rentals.cc
+++ b/src/cloud/rentals.cc
@@ -99,6 +99,7 @@
     if (JsonString(doc, "z", &word)) m.zone = book_->zones.Add(word);
     JsonBool(doc, "sp", &m.spot);
     JsonNumber(doc, "w", &m.rented_wall);
+    JsonNumber(doc, "u", &m.unanswered_since);
     // Its address was durable before its first launch: without one it is empty.
     m.may_hold = !m.endpoint.empty();
     m.listed = true;
@@ -273,9 +274,15 @@
   w.Bool(m.spot);
   w.Key("w");
   w.Double(m.rented_wall);
+  if (m.unanswered_since >= 0) {
+    w.Key("u");
+    w.Double(m.unanswered_since);
+  }
   w.EndObject();
   std::string text(buffer.GetString(), buffer.GetSize());
-  const size_t reserve = text.size() + (m.endpoint.empty() ? 24 : 0);
+  // Room for what may still come.
+  const size_t reserve =
+      text.size() + (m.endpoint.empty() ? 24 : 0) + (m.unanswered_since < 0 ? 20 : 0);
   if (m.row == kNoRow) {
     m.row = store_->Add(std::move(text), reserve, urgent);
   } else {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -234,6 +234,8 @@
   Machine& m = machines_[mi];
   if (m.failing_since < 0) m.failing_since = clock_->Now();
   ++m.fails;
+  // The stops did not arrive: the next report gets them.
+  for (Slot& s : m.slots) s.stop_sent = -1e9;
   m.stale = true;
   if (m.fails < 2) return;
   // What was never sent there can go elsewhere at once.
@@ -498,8 +500,6 @@
   // Late commands die of the higher token. Without it a launch could come after
   // its attempt was cleared, and start once more.
   ++machines_[mi].token;
-  // The stops died with it.
-  for (Slot& s : machines_[mi].slots) s.stop_sent = -1e9;
   Changed(mi);
 }
 
@@ -546,6 +546,11 @@
 bool Fleet::LeaseOver(const Machine& m, double now, double term_began) const {
   const double lease = options_.lease_s * (1 + options_.drift) + 0.5;
   if (m.accounted) return now > std::max(m.answered_at, m.heard_at) + lease;
+  // Unless a former leader said that it does not.
+  if (m.unanswered_since >= 0 &&
+      clock_->Wall() > m.unanswered_since + lease + 2 * options_.wall_bound_s) {
+    return true;
+  }
   // A former leader may have answered it until its hold was over.
   const double last =
       std::max(m.answered_at, term_began + options_.old_hold_s * (1 + options_.drift));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -18,6 +18,7 @@
   double lease_s = 30;
   double old_hold_s = 20;  // how long a former leader may go on answering reports
   double drift = 0.002;
+  double wall_bound_s = 1;  // how far clocks may be from the true time of day
 };
 
 // Tokens and attempts carry the term in their high bits.
@@ -58,6 +59,8 @@
   void Unheard(MachIdx m);
   // Has shown that it heard the token it would get commands with.
   static bool Hears(const Machine& m) { return m.seen_token >= m.token; }
+  // Has shown a token of this term: a former leader's answers don't reach it any more.
+  bool Ours(const Machine& m) const { return TermOf(m.seen_token) == term_; }
   // Puts a task there; the launch goes out with the next commands.
   void Place(MachIdx m, JobIdx job, uint32_t task, uint64_t attempt);
   // A number never used for an attempt before.
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -153,8 +153,13 @@
   int fails = 0;              // such questions
   double hears_at = -1e9;     // it last showed that it hears
   bool suspect = false;       // said something that does not fit: ask it soon
-  bool cut = false;           // silent in a zone that is cut off: rather alive than lost
-  double known_at = 0;        // first heard of, in this term
+  // Wall time since which surely nobody answered its reports; negative: not said. It is
+  // in the row, so that a later leader knows when the lease ends; no report is answered
+  // before it is taken back.
+  double unanswered_since = -1;
+  bool taking_back = false;
+  bool cut = false;     // silent in a zone that is cut off: rather alive than lost
+  double known_at = 0;  // first heard of, in this term
   double rented_wall = 0;
   double up_at = -1;
   double heard_at = -1e9;     // last report or answer
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -30,6 +30,7 @@
   FleetOptions o;
   o.lease_s = s.lease_s;
   o.old_hold_s = HoldSeconds(s);
+  o.wall_bound_s = s.time_bound_ms / 1000;
   return o;
 }
 
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -90,8 +90,16 @@
   void Sweep();
   // Finds zones that are cut off from here, with all that runs there.
   void FindCuts();
+  // Makes durable since when the machines behind a cut are not answered.
+  void SayUnanswered(uint32_t zone);
+  // Takes that back, once one of them is heard.
+  void TakeBack(uint32_t zone);
+  // Nothing is said of the machine any more, also durably.
+  bool TakenBack(MachIdx m);
   // A question to a machine was answered, or not.
   void Counted(const Machine& m, bool answered);
+  // Its zone's controllers are not heard, or were not of late.
+  bool BehindCut(const Machine& m) const;
   void Watch(MachIdx m);
   void Lost(MachIdx m);
   void Probe(MachIdx m, bool urgent);
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -92,6 +92,10 @@
   }
   // A late copy from a machine that is gone.
   if (fleet_[mi].gone) return reply;
+  if (!TakenBack(mi)) {
+    if (trusted) TakeBack(fleet_[mi].zone);
+    return reply;
+  }
   const bool fresh = fleet_.Process(mi, r);
   Machine& m = fleet_[mi];
   reply.status = 200;
@@ -123,6 +127,34 @@
   return reply;
 }
 
+void Leader::SayUnanswered(uint32_t zone) {
+  // Should the next leader have to wait for its own beginning, our hold and a lease,
+  // what runs behind the cut would be missing for that long.
+  const double now = ports_.clock->Now();
+  for (MachIdx mi : fleet_.active()) {
+    Machine& m = fleet_[mi];
+    if (m.zone != zone || !m.cut || !m.accounted || m.row == kNoRow || !fleet_.Ours(m)) continue;
+    m.unanswered_since = ports_.clock->Wall() - (now - std::max(m.heard_at, m.answered_at));
+    rentals_.SaveMachine(mi, false);
+  }
+}
+
+void Leader::TakeBack(uint32_t zone) {
+  for (MachIdx mi : fleet_.active()) {
+    Machine& m = fleet_[mi];
+    if (m.zone != zone || m.unanswered_since < 0) continue;
+    m.unanswered_since = -1;
+    m.taking_back = true;
+    rentals_.SaveMachine(mi, true);
+  }
+}
+
+bool Leader::TakenBack(MachIdx mi) {
+  Machine& m = fleet_[mi];
+  if (m.taking_back && store_.Durable(m.row)) m.taking_back = false;
+  return m.unanswered_since < 0 && !m.taking_back;
+}
+
 void Leader::TaskEnded(MachIdx mi, const Slot& slot) {
   Machine& m = fleet_[mi];
   const double now = ports_.clock->Now();
@@ -217,8 +249,10 @@
   const double now = ports_.clock->Now();
   if (m.do_busy || m.gone || m.returning || m.endpoint.empty() || now < m.do_after) return;
   const bool greet = !m.accounted && (m.may_hold || m.up);
-  if (!greet && (!m.up || !fleet_.HasCommands(mi, true))) return;
-  std::vector<Command> commands = fleet_.Commands(mi, true);
+  // A launch there could outlive what was said of its lease.
+  const bool launch = TakenBack(mi);
+  if (!greet && (!m.up || !fleet_.HasCommands(mi, launch))) return;
+  std::vector<Command> commands = fleet_.Commands(mi, launch);
   if (commands.empty() && !greet && Fleet::Hears(m)) return;
   m.do_busy = true;
   direct_.Take(now, 1, -1e9);
@@ -285,14 +319,18 @@
   });
 }
 
-// A machine already known to be silent says nothing new about the way: many such, kept
-// behind a cut, would otherwise make the leader doubt itself.
+bool Leader::BehindCut(const Machine& m) const {
+  return m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone]);
+}
+
+// A machine already known to be silent, or behind a cut, says nothing new about the way: many such,
+// kept behind a cut, would otherwise make the leader doubt itself.
 void Leader::Counted(const Machine& m, bool answered) {
   if (answered) {
     answered_ += 1;
     in_a_row_ = 0;
     last_answer_ = ports_.clock->Now();
-  } else if (m.probe_fails == 0 && m.do_fails == 0) {
+  } else if (m.probe_fails == 0 && m.do_fails == 0 && !BehindCut(m)) {
     unanswered_ += 1;
     ++in_a_row_;
   }
@@ -308,7 +346,7 @@
   // lives longer still; other former leaders' machines block what may be on them.
   const bool answered_inside =
       m.zone != kNone && !ports_.former_site.empty() && book_.zones[m.zone] == ports_.former_site;
-  if (m.cut && (!waited_for || answered_inside)) {
+  if (m.cut && (!waited_for || answered_inside || m.unanswered_since >= 0)) {
     if (silent > settings_->lease_s * kCutLeases && !waited_for) {
       rentals_.Return(mi, "silent behind a cut");
     }
@@ -319,8 +357,7 @@
                                            : tuning_->quick_lost_s;
   // Behind a cut its worker first has to find another node, and probes from here
   // say nothing: returning it would kill what runs well.
-  const bool behind_cut =
-      m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone]);
+  const bool behind_cut = BehindCut(m);
   // So does losing the way to the workers ourselves: those that reported here need
   // two timeouts to find another node.
   if (behind_cut || many_silent_) limit = std::max(limit, tuning_->lost_behind_cut_s);
@@ -377,11 +414,13 @@
   std::vector<Count> count(book_.zones.size());
   for (MachIdx mi : fleet_.active()) {
     const Machine& m = fleet_[mi];
-    if (m.zone == kNone || m.returning || (!m.up && (!m.may_hold || m.accounted))) continue;
+    // Those that ever reported, under whichever leader.
+    if (m.zone == kNone || m.returning || m.endpoint.empty()) continue;
     ++count[m.zone].known;
     if (now - m.heard_at < window) ++count[m.zone].heard;
   }
   cut_.resize(book_.zones.size(), 0);
+  const std::vector<char> before = cut_;
   for (uint32_t z = 0; z < cut_.size(); ++z) {
     const std::string& name = book_.zones[z];
     const auto known = static_cast<double>(count[z].known);
@@ -389,16 +428,16 @@
     const bool guarded = std::any_of(settings_->siblings.begin(), settings_->siblings.end(),
                                      [&name](const Peer& p) { return p.site == name; }) &&
                          !(ports_.doubtful && ports_.doubtful(name));
-    const bool before = cut_[z] != 0;
+    const bool was = cut_[z] != 0;
     if (name == settings_->site || count[z].known < kCutLeast) {
       cut_[z] = 0;
-    } else if (!before) {
+    } else if (!was) {
       cut_[z] = now - began_ > window + 1 && !guarded && heard < known * kCutBegins;
     } else {
       cut_[z] = heard < known * kCutEnds;
     }
-    if (before == (cut_[z] != 0)) continue;
-    if (before) {
+    if (was == (cut_[z] != 0)) continue;
+    if (was) {
       spdlog::info("zone {}: {} of {} machines are heard again", name, heard, known);
     } else {
       spdlog::warn("zone {} is cut off: {} of {} machines heard of late; waiting for their leases",
@@ -412,6 +451,10 @@
     if (cut != m.cut) m.stale = true;
     m.cut = cut;
   }
+  for (uint32_t z = 0; z < cut_.size(); ++z) {
+    if (cut_[z] != 0 && before[z] == 0) SayUnanswered(z);
+    if (cut_[z] == 0 && before[z] != 0) TakeBack(z);
+  }
 }
 
 void Leader::Sweep() {
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -11,8 +11,10 @@
 constexpr double kEps = 1e-6;
 // A gang that waited so long has machines kept free for it.
 constexpr double kGangPatience = 15;
-// Jobs for which one pass looks for tasks to stop, and tasks of one job.
-constexpr int kMostPreempting = 8;
+// Jobs for which one pass looks for tasks to stop, arrays among them, and tasks of one
+// job. When a zone's leases end, many services need room at once.
+constexpr int kMostPreempting = 24;
+constexpr int kMostArraysPreempting = 4;
 constexpr size_t kMostStopped = 32;
 
 }  // namespace
@@ -327,7 +329,7 @@
   for (JobIdx j : services) PlaceService(j);
   // Then the best-ranked array with a task that fits.
   contended_ = waiting > rooms_->free_ordinary() + rooms_->free_spot();
-  preempting_ = kMostPreempting / 2;
+  preempting_ = kMostPreempting - kMostArraysPreempting;
   for (JobIdx j : ranking_->order()) {
     const Job& job = (*book_)[j];
     if (job.life != JobLife::kLive || job.waiting.empty()) continue;
--- a/src/leader/rooms.cc
+++ b/src/leader/rooms.cc
@@ -37,8 +37,8 @@
   const double now = clock_->Now();
   // Reports alone are no proof that it hears: a machine whose commands get lost
   // would be given tasks again and again.
-  return m.up && m.accounted && !m.gone && !m.drain && !m.cut && !m.returning &&
-         m.notice_until < 0 && Fleet::Hears(m) && m.fails < 2 && m.row != kNoRow &&
+  return m.up && m.accounted && !m.gone && !m.drain && !m.cut && m.unanswered_since < 0 &&
+         !m.returning && m.notice_until < 0 && Fleet::Hears(m) && m.fails < 2 && m.row != kNoRow &&
          !m.endpoint.empty() && store_->Durable(m.row) && now >= m.sick_until &&
          now >= m.no_room_until && HeardLately(m);
 }
--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -201,6 +201,52 @@
   EXPECT_EQ(w.In(w.west), 8U);
 }
 
+// Found on the same day: a leader that began while a zone was cut off could not know since
+// when nobody answered there, and held the replicas back for a hold and a lease.
+TEST(Cut, ANewLeaderKnowsWhenTheLeasesBehindTheCutEnd) {
+  TwoZones w;
+  w.cloud.refuse = true;
+  w.tuning.takeover_wait_s = w.tuning.lost_behind_cut_s = 500;
+  w.Fill(8);
+  w.Submit(w.Service("job-2", 8));
+  w.Pass(2);
+  w.Cut(&w.east, true);
+  w.Pass(w.settings.lease_s / 2);
+  w.Lead();
+  w.Pass(4);
+  const size_t before = w.In(w.west);
+  const size_t behind = w.In(w.east);
+  w.Pass(w.settings.lease_s / 2);
+  EXPECT_EQ(w.In(w.west), before + behind - 4);
+  // It never heard them itself; they are waited for all the same.
+  w.Pass(w.cloud.types[0].boot_s + 2);
+  EXPECT_TRUE(w.cloud.returned.empty());
+}
+
+TEST(Cut, WhatWasSaidOfLeasesIsTakenBackBeforeAReportIsAnswered) {
+  TwoZones w;
+  w.cloud.refuse = true;
+  w.Fill(8);
+  w.Cut(&w.east, true);
+  w.Pass(5);
+  FakeWorker& m = *w.east[0];
+  m.silent = false;
+  w.state.refuse = true;
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
+  w.Pass(1);
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
+  w.state.refuse = false;
+  w.Cut(&w.east, false);
+  w.Pass(1);
+  ++m.report.seq;
+  EXPECT_EQ(w.leader->OnReport(m.report).status, 200);
+  for (const auto& [key, entry] : w.state.keys) {
+    EXPECT_EQ(entry.value.find("\"u\":"), std::string::npos) << entry.value;
+  }
+}
+
 // A zone in which some go on reporting is not cut off.
 TEST(Cut, MachinesLostInAZoneThatReportsAreReturned) {
   TwoZones w;
