--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -10,6 +10,7 @@
 
 const char* const kPrefix = "deckhall/pages/";
 constexpr size_t kTxnBytes = 56 << 10;
+constexpr int kMostFlights = 4;
 
 }  // namespace
 
@@ -77,7 +78,8 @@
   uint32_t best = UINT32_MAX;
   for (uint32_t i = 0; i < pages_.size(); ++i) {
     const Page& p = pages_[i];
-    if (p.reserved + bytes > limits_.value_bytes) continue;
+    // A page on its way takes no new row: that would have to wait for its answer.
+    if (p.in_flight || p.reserved + bytes > limits_.value_bytes) continue;
     if (best == UINT32_MAX || p.reserved > pages_[best].reserved) best = i;
   }
   if (best != UINT32_MAX) return best;
@@ -155,59 +157,71 @@
 }
 
 void RowStore::Pump() {
+  while (SendOne()) {
+  }
+}
+
+bool RowStore::SendOne() {
   const double now = clock_->Now();
-  if (stopped_ || busy_ || now < retry_at_) return;
+  if (stopped_ || conflict_ || resolving_ || now < retry_at_ || flights_ >= kMostFlights) {
+    return false;
+  }
   std::vector<uint32_t> due;
   bool urgent = false;
   bool lazy = false;
   for (uint32_t i = 0; i < pages_.size(); ++i) {
-    if (!pages_[i].dirty) continue;
+    if (!pages_[i].dirty || pages_[i].in_flight) continue;
     due.push_back(i);
     urgent = urgent || pages_[i].urgent;
     lazy = lazy || now - pages_[i].since >= limits_.lazy_s;
   }
-  if (!urgent && !lazy) return;
+  // Only what is urgent overtakes: the more goes together, the fewer puts.
+  if (!urgent && (!lazy || flights_ > 0)) return false;
   std::stable_sort(due.begin(), due.end(), [this](uint32_t a, uint32_t b) {
     if (pages_[a].urgent != pages_[b].urgent) return pages_[a].urgent;
     return pages_[a].since < pages_[b].since;
   });
   // Lazy pages ride along only while that leaves budget for urgent ones.
   double room = state_->WriteRoom();
-  if (room < 1) return;
+  if (room < 1) return false;
   Txn txn;
   txn.conditions.push_back({leader_key_, term_});
   size_t bytes = 200;
-  sent_.clear();
+  std::vector<uint32_t> sent;
   for (uint32_t i : due) {
     Page& p = pages_[i];
-    if (sent_.size() >= limits_.txn_ops) break;
-    if (!sent_.empty() && room < (p.urgent ? 1.0 : static_cast<double>(limits_.txn_ops) / 3)) break;
-    if (!p.urgent && now - p.since < limits_.lazy_s) continue;
+    if (sent.size() >= limits_.txn_ops) break;
+    if (!sent.empty() && room < (p.urgent ? 1.0 : static_cast<double>(limits_.txn_ops) / 3)) break;
+    if (!p.urgent && (now - p.since < limits_.lazy_s || flights_ > 0)) continue;
     size_t total = bytes;
     std::string value = Render(p, &total);
-    if (!sent_.empty() && total > kTxnBytes) break;
+    if (!sent.empty() && total > kTxnBytes) break;
     bytes = total;
     room -= 1;
     txn.conditions.push_back({p.key, p.version});
     txn.writes.push_back({p.key, std::move(value), 0});
-    sent_.push_back(i);
+    sent.push_back(i);
     p.dirty = p.urgent = false;
+    p.in_flight = true;
     for (RowId id : p.rows) {
       rows_[id].in_flight = rows_[id].dirty;
       rows_[id].dirty = false;
     }
   }
-  if (sent_.empty()) return;
-  busy_ = true;
-  state_->Commit(txn, [this](const StateAnswer& answer) { Finished(answer); });
+  if (sent.empty()) return false;
+  ++flights_;
+  state_->Commit(txn, [this, sent](const StateAnswer& answer) { Finished(sent, answer); });
+  return true;
 }
 
-void RowStore::Finished(const StateAnswer& answer) {
+void RowStore::Finished(const std::vector<uint32_t>& sent, const StateAnswer& answer) {
   if (stopped_) return;
   const double now = clock_->Now();
   const bool ok = answer.outcome == StateOutcome::kOk;
-  for (uint32_t i : sent_) {
+  --flights_;
+  for (uint32_t i : sent) {
     Page& p = pages_[i];
+    p.in_flight = false;
     if (ok) p.version = answer.number;
     for (RowId id : p.rows) {
       if (!ok && rows_[id].in_flight) rows_[id].dirty = true;
@@ -218,29 +232,27 @@
       p.dirty = p.urgent = true;
     }
   }
-  busy_ = false;
-  if (ok) {
-    if (on_commit) on_commit();
-    Pump();
-    return;
-  }
   // No answer: the same pages are written again under the same versions. Should
   // the first try be applied late, the second meets a conflict, never both.
-  if (answer.outcome == StateOutcome::kConflict) {
+  if (answer.outcome == StateOutcome::kConflict) conflict_ = true;
+  if (answer.outcome == StateOutcome::kRefused) retry_at_ = now + 0.1;
+  // Versions read while something is in flight could be older than its answer.
+  if (conflict_ && flights_ == 0) {
+    conflict_ = false;
     Resolve();
-  } else {
-    retry_at_ = now + 0.1;
   }
+  if (ok && on_commit) on_commit();
+  Pump();
 }
 
 void RowStore::Resolve() {
   // Only this term's holder writes pages, so a version that differs is our own
   // unanswered transaction, applied after all - or the term is over.
-  busy_ = true;
+  resolving_ = true;
   state_->Get(leader_key_, [this](const StateAnswer& leader) {
     if (stopped_) return;
     if (leader.outcome != StateOutcome::kOk) {
-      busy_ = false;
+      resolving_ = false;
       retry_at_ = clock_->Now() + 0.2;
       return;
     }
@@ -266,7 +278,7 @@
         return;
       }
     }
-    busy_ = false;
+    resolving_ = false;
     retry_at_ = clock_->Now() + 0.05;
   });
 }
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -1,6 +1,7 @@
 // The leader's durable rows: small JSON texts, many to a page, a page to a key.
-// Group commit: one transaction at a time writes the dirty pages, on condition
-// that the term still stands and that each page has the version last seen.
+// Group commit: a transaction writes the dirty pages, on condition that the term still
+// stands and that each page has the version last seen. While one is slow to answer,
+// what is urgent on other pages goes ahead.
 #pragma once
 
 #include <functional>
@@ -64,13 +65,16 @@
     std::vector<RowId> rows;
     bool dirty = false;
     bool urgent = false;
+    bool in_flight = false;
     double since = 0;
   };
 
   uint32_t PageFor(size_t bytes);
   void Touch(uint32_t page, bool urgent);
   std::string Render(const Page& page, size_t* bytes) const;
-  void Finished(const StateAnswer& answer);
+  // Sends one transaction, if something is due and may go.
+  bool SendOne();
+  void Finished(const std::vector<uint32_t>& sent, const StateAnswer& answer);
   void Resolve();
   void ResolvePages(const std::string& after);
   void LoadFrom(const std::string& after, Loaded done);
@@ -83,8 +87,9 @@
   std::vector<Row> rows_;
   std::vector<RowId> free_rows_;
   std::vector<Page> pages_;
-  std::vector<uint32_t> sent_;  // pages in the transaction in flight
-  bool busy_ = false;
+  int flights_ = 0;        // transactions not answered yet
+  bool conflict_ = false;  // versions are read again once nothing is in flight
+  bool resolving_ = false;
   bool stopped_ = false;
   double retry_at_ = 0;
   int unreadable_ = 0;
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -2,10 +2,15 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace deckhall {
 namespace {
 
 constexpr double kTimeout = 2.0;
+constexpr double kLeastTimeout = 0.4;
+constexpr double kSlow = 4;
+constexpr double kSmooth = 0.1;
 constexpr size_t kMaxAnswer = 4 << 20;
 
 }  // namespace
@@ -59,14 +64,23 @@
     if (!refuse_.active()) refuse_.Start(0.02);
     return;
   }
+  // One that takes far longer than most is given up: written again under the same
+  // versions, it is sooner known to be durable.
+  const double timeout = std::clamp(kSlow * commit_s_, kLeastTimeout, kTimeout);
+  const double sent = clock_->Now();
   Ask(
-      {"POST", "/txn", EncodeTxn(txn), kTimeout}, 2,
+      {"POST", "/txn", EncodeTxn(txn), timeout}, 2,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200 && DecodeRevision(r.body, &a->number)) a->outcome = StateOutcome::kOk;
         if (r.status == 409 || r.status == 400) a->outcome = StateOutcome::kConflict;
         if (r.status == 400) spdlog::warn("state service refuses a transaction: {}", r.body);
       },
-      std::move(done));
+      [this, sent, done = std::move(done)](const StateAnswer& a) {
+        if (a.outcome != StateOutcome::kRefused) {
+          commit_s_ += kSmooth * (clock_->Now() - sent - commit_s_);
+        }
+        done(a);
+      });
 }
 
 void StateClient::Get(const std::string& key, Done done) {
--- a/src/state/state_client.h
+++ b/src/state/state_client.h
@@ -31,6 +31,7 @@
   Endpoint at_;
   TokenBucket requests_;
   TokenBucket writes_;
+  double commit_s_ = 0.05;  // what a transaction takes, smoothed
   double rps_;
   HttpClient http_;
   Timer refuse_;
