--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -31,7 +31,7 @@
   double takeover_wait_s = 4;
   double deaf_s = 8;
   double message_ms = 0.15;
-  double probe_share = 0.1;
+  double probe_share = 0.2;
   double direct_share = 0.4;
   // capacity
   double plan_s = 1;
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -90,8 +90,8 @@
   void Sweep();
   // Finds zones that are cut off from here, with all that runs there.
   void FindCuts();
-  // Makes durable since when the machines behind a cut are not answered.
-  void SayUnanswered(uint32_t zone);
+  // Makes durable since when a machine behind a cut is not answered.
+  void SayUnanswered(MachIdx m);
   // Takes that back, once one of them is heard.
   void TakeBack(uint32_t zone);
   // Nothing is said of the machine any more, also durably.
@@ -141,6 +141,7 @@
   double lost_at_ = -1e9;  // a machine was found lost
   size_t silent_machines_ = 0;
   size_t deaf_machines_ = 0;
+  size_t waited_for_ = 0;  // a former leader's, not accounted for yet
   double unreached_since_ = -1;
   double answered_ = 0;  // questions to machines of late, fading
   double unanswered_ = 0;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -127,16 +127,14 @@
   return reply;
 }
 
-void Leader::SayUnanswered(uint32_t zone) {
+void Leader::SayUnanswered(MachIdx mi) {
   // Should the next leader have to wait for its own beginning, our hold and a lease,
   // what runs behind the cut would be missing for that long.
-  const double now = ports_.clock->Now();
-  for (MachIdx mi : fleet_.active()) {
-    Machine& m = fleet_[mi];
-    if (m.zone != zone || !m.cut || !m.accounted || m.row == kNoRow || !fleet_.Ours(m)) continue;
-    m.unanswered_since = ports_.clock->Wall() - (now - std::max(m.heard_at, m.answered_at));
-    rentals_.SaveMachine(mi, false);
-  }
+  Machine& m = fleet_[mi];
+  if (!m.accounted || m.row == kNoRow || !fleet_.Ours(m) || m.unanswered_since >= 0) return;
+  const double silent = ports_.clock->Now() - std::max(m.heard_at, m.answered_at);
+  m.unanswered_since = ports_.clock->Wall() - silent;
+  rentals_.SaveMachine(mi, false);
 }
 
 void Leader::TakeBack(uint32_t zone) {
@@ -360,7 +358,10 @@
   const bool behind_cut = BehindCut(m);
   // So does losing the way to the workers ourselves: those that reported here need
   // two timeouts to find another node.
-  if (behind_cut || many_silent_) limit = std::max(limit, tuning_->lost_behind_cut_s);
+  // A few machines that a new leader waits for hold up all that may be on them.
+  const bool few_waited_for = waited_for && waited_for_ <= few_;
+  if ((behind_cut && !few_waited_for) || many_silent_)
+    limit = std::max(limit, tuning_->lost_behind_cut_s);
   if (silent > limit && m.probe_fails >= 2) {
     // Returning it ends whatever it still holds: sooner than its lease would.
     rentals_.Return(mi, "silent");
@@ -449,10 +450,10 @@
     Machine& m = fleet_[mi];
     const bool cut = m.zone != kNone && cut_[m.zone] != 0 && now - m.heard_at >= window;
     if (cut != m.cut) m.stale = true;
+    if (cut && !m.cut) SayUnanswered(mi);
     m.cut = cut;
   }
   for (uint32_t z = 0; z < cut_.size(); ++z) {
-    if (cut_[z] != 0 && before[z] == 0) SayUnanswered(z);
     if (cut_[z] == 0 && before[z] != 0) TakeBack(z);
   }
 }
@@ -462,9 +463,10 @@
   FindCuts();
   size_t up = 0;
   size_t busy = 0;
-  silent_machines_ = deaf_machines_ = 0;
+  silent_machines_ = deaf_machines_ = waited_for_ = 0;
   for (MachIdx mi : fleet_.active()) {
     const Machine& m = fleet_[mi];
+    if (m.may_hold && !m.accounted) ++waited_for_;
     if (m.returning || !m.up) continue;
     ++up;
     if (m.busy > 0) ++busy;
