--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,7 @@
 #include "net/http_server.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "wire/job_codec.h"
@@ -7,6 +9,8 @@
 namespace deckhall {
 namespace {
 
+constexpr double kTellEvery = 60;
+
 const char* Phrase(int status) {
   switch (status) {
     case 200:
@@ -56,17 +60,20 @@
   if (conns_.size() >= limits_.connections) {
     // A flood pushes out the connection that has been idle longest; with none
     // idle the newcomer goes.
-    Conn* oldest = nullptr;
-    for (auto& [id, c] : conns_) {
-      if (!c->busy && (oldest == nullptr || c->since < oldest->since)) oldest = c.get();
+    ++pushed_out_;
+    if (loop_->Now() - told_full_at_ > kTellEvery) {
+      told_full_at_ = loop_->Now();
+      spdlog::warn("all {} connections are taken: the one idle longest goes for each new one",
+                   limits_.connections);
     }
-    if (oldest == nullptr) return;
-    Drop(oldest->id);
+    if (idle_.empty()) return;
+    Drop(idle_.front()->id);
   }
   auto conn = std::make_unique<Conn>(limits_);
   Conn* c = conn.get();
   c->id = next_id_++;
-  c->since = loop_->Now();
+  c->at = idle_.end();
+  Idle(c);
   c->tcp = std::move(tcp);
   const uint64_t id = c->id;
   c->tcp->SetCallbacks([this, c](std::string_view bytes) { OnData(c, bytes); },
@@ -76,7 +83,7 @@
 
 void HttpServer::OnData(Conn* c, std::string_view bytes) {
   if (c->closing) return;
-  if (!c->parser.InMessage()) c->since = loop_->Now();
+  if (!c->parser.InMessage() && !c->busy) Idle(c);
   if (c->busy) {
     // Requests are not pipelined; whoever sends on regardless is held back.
     c->tcp->PauseReading(true);
@@ -102,7 +109,7 @@
     return;
   }
   HttpMessage request = c->parser.Take();
-  c->busy = true;
+  Busy(c);
   c->keep_alive = request.keep_alive;
   const uint64_t id = c->id;
   handler_(std::move(request), [this, id](const HttpAnswer& answer) {
@@ -124,8 +131,7 @@
   if (close) out += "Connection: close\r\n";
   out += "\r\n";
   out += answer.body;
-  c->busy = false;
-  c->since = loop_->Now();
+  Idle(c);
   c->tcp->Send(out);
   if (close) {
     c->closing = true;
@@ -139,6 +145,7 @@
 void HttpServer::Drop(uint64_t id) {
   auto it = conns_.find(id);
   if (it == conns_.end()) return;
+  Busy(it->second.get());
   it->second->closing = true;
   it->second->tcp->Abandon();
   dropped_.push_back(std::move(it->second));
@@ -146,6 +153,19 @@
   if (!reaper_.active()) reaper_.Start(0);
 }
 
+void HttpServer::Idle(Conn* c) {
+  Busy(c);
+  c->busy = false;
+  c->since = loop_->Now();
+  c->at = idle_.insert(idle_.end(), c);
+}
+
+void HttpServer::Busy(Conn* c) {
+  c->busy = true;
+  if (c->at != idle_.end()) idle_.erase(c->at);
+  c->at = idle_.end();
+}
+
 void HttpServer::Sweep() {
   const double now = loop_->Now();
   std::vector<uint64_t> gone;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -39,6 +40,8 @@
   HttpServer(Loop* loop, const Endpoint& at, HttpServerLimits limits, Handler handler);
 
   size_t connections() const { return conns_.size(); }
+  // Connections that were pushed out by newer ones, or refused.
+  uint64_t pushed_out() const { return pushed_out_; }
 
  private:
   struct Conn {
@@ -48,7 +51,8 @@
     bool busy = false;
     bool closing = false;
     bool keep_alive = true;
-    double since = 0;  // when the present stage began
+    double since = 0;               // when the present stage began
+    std::list<Conn*>::iterator at;  // in idle_, while not busy
     explicit Conn(const HttpServerLimits& l)
         : parser(HttpParser::Kind::kRequest, l.head_bytes, l.body_bytes) {}
   };
@@ -59,12 +63,20 @@
   void Answer(Conn* c, const HttpAnswer& answer);
   void Drop(uint64_t id);
   void Sweep();
+  // A stage begins now in which it waits for its client.
+  void Idle(Conn* c);
+  void Busy(Conn* c);
 
   Loop* loop_;
   HttpServerLimits limits_;
   Handler handler_;
   uint64_t next_id_ = 1;
   std::unordered_map<uint64_t, std::unique_ptr<Conn>> conns_;
+  // Those that wait for their client, the longest first: with a full table the one to
+  // go is found without a walk.
+  std::list<Conn*> idle_;
+  uint64_t pushed_out_ = 0;
+  double told_full_at_ = -1e9;
   std::vector<std::unique_ptr<Conn>> dropped_;  // destroyed from the loop
   Timer reaper_;
   Timer sweeper_;
