--- /dev/null
+++ b/src/fleet/cache_hints.cc
@@ -0,0 +1,109 @@
+#include "fleet/cache_hints.h"
+
+#include <algorithm>
+
+#include "wire/json.h"
+
+namespace deckhall {
+namespace {
+
+const char* const kNamesKey = "in";
+const char* const kMachinesKey = "ic";
+// The last ones used are the last to be dropped.
+constexpr size_t kMostImages = 8;
+
+}  // namespace
+
+bool CacheHints::LoadRow(RowId row, const std::string& text) {
+  rapidjson::Document doc;
+  if (!ParseJson(text, &doc) || !doc.IsObject()) return false;
+  const JsonValue* names = JsonMember(doc, kNamesKey);
+  const JsonValue* machines = JsonMember(doc, kMachinesKey);
+  if (names != nullptr && names->IsArray()) {
+    names_row_ = row;
+    for (const auto& name : names->GetArray()) {
+      loaded_names_.emplace_back(name.IsString() ? name.GetString() : "");
+    }
+    return true;
+  }
+  if (machines == nullptr || !machines->IsArray()) return false;
+  rows_.push_back(row);
+  for (const auto& entry : machines->GetArray()) {
+    if (!entry.IsArray() || entry.Empty() || !entry[0].IsString()) continue;
+    std::vector<uint32_t> images;
+    for (rapidjson::SizeType i = 1; i < entry.Size(); ++i) {
+      if (entry[i].IsUint()) images.push_back(entry[i].GetUint());
+    }
+    loaded_.emplace_back(entry[0].GetString(), std::move(images));
+  }
+  return true;
+}
+
+void CacheHints::FinishLoad() {
+  for (const auto& [name, images] : loaded_) {
+    const MachIdx mi = fleet_->Find(name);
+    if (mi == kNone) continue;
+    for (uint32_t i : images) {
+      if (i >= loaded_names_.size() || loaded_names_[i].empty()) continue;
+      (*fleet_)[mi].images.push_back(book_->images.Add(loaded_names_[i]));
+    }
+  }
+  loaded_ = {};
+  loaded_names_ = {};
+}
+
+void CacheHints::SaveNames() {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.StartObject();
+  w.Key(kNamesKey);
+  w.StartArray();
+  for (uint32_t i = 0; i < book_->images.size(); ++i) {
+    if (buffer.GetSize() + book_->images[i].size() + 8 > row_bytes_) break;
+    w.String(book_->images[i]);
+  }
+  w.EndArray();
+  w.EndObject();
+  std::string text(buffer.GetString(), buffer.GetSize());
+  if (names_row_ == kNoRow) {
+    names_row_ = store_->Add(std::move(text), row_bytes_, false);
+  } else {
+    store_->Set(names_row_, std::move(text), row_bytes_, false);
+  }
+}
+
+void CacheHints::Put(size_t at, std::string text) {
+  text = std::string("{\"") + kMachinesKey + "\":[" + text + "]}";
+  if (at < rows_.size()) {
+    store_->Set(rows_[at], std::move(text), row_bytes_, false);
+  } else {
+    rows_.push_back(store_->Add(std::move(text), row_bytes_, false));
+  }
+}
+
+void CacheHints::Save() {
+  SaveNames();
+  std::string text;
+  size_t used = 0;
+  for (MachIdx mi : fleet_->active()) {
+    const Machine& m = (*fleet_)[mi];
+    if (m.images.empty() || m.returning) continue;
+    rapidjson::StringBuffer buffer;
+    JsonWriter w(buffer);
+    w.StartArray();
+    w.String(m.name);
+    const size_t from = m.images.size() - std::min(kMostImages, m.images.size());
+    for (size_t i = from; i < m.images.size(); ++i) w.Uint(m.images[i]);
+    w.EndArray();
+    if (text.size() + buffer.GetSize() + 16 > row_bytes_) {
+      Put(used++, std::move(text));
+      text.clear();
+    }
+    if (!text.empty()) text += ',';
+    text.append(buffer.GetString(), buffer.GetSize());
+  }
+  Put(used++, std::move(text));
+  for (; used < rows_.size(); ++used) Put(used, "");
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/fleet/cache_hints.h
@@ -0,0 +1,39 @@
+// Which images the machines hold, as far as was seen, kept for the next leader: reports
+// name only what runs, so it would have to learn the caches anew, and start replicas
+// where their image must be fetched. A hint only; written now and then, never urgent.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "fleet/fleet.h"
+
+namespace deckhall {
+
+class CacheHints {
+ public:
+  // `row_bytes` is what one row may take.
+  CacheHints(RowStore* store, JobBook* book, Fleet* fleet, size_t row_bytes)
+      : store_(store), book_(book), fleet_(fleet), row_bytes_(row_bytes) {}
+
+  // Reads one row if it is one of ours.
+  bool LoadRow(RowId row, const std::string& text);
+  // After all rows.
+  void FinishLoad();
+  void Save();
+
+ private:
+  void SaveNames();
+  void Put(size_t at, std::string text);
+
+  RowStore* store_;
+  JobBook* book_;
+  Fleet* fleet_;
+  size_t row_bytes_;
+  RowId names_row_ = kNoRow;
+  std::vector<RowId> rows_;
+  std::vector<std::string> loaded_names_;
+  std::vector<std::pair<std::string, std::vector<uint32_t>>> loaded_;
+};
+
+}  // namespace deckhall
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr double kPageFill = 0.85;
+// Of a page, what its brackets take; two rows of hints share one.
+constexpr size_t kPageRest = 16;
+// Hints are written so much less often than the work that is left.
+constexpr double kHintsEvery = 3;
 // Passes are this far apart for each machine, so that their cost has a bound.
 constexpr double kPassGap = 0.02;
 constexpr double kPassGapPerMachine = 80e-6;
@@ -71,6 +75,7 @@
       book_(&store_),
       fleet_(&book_, ports.clock, term, FleetOf(*settings)),
       rentals_(ports.cloud, &store_, &fleet_, &book_, ports.clock, term, RentalsOf(*settings)),
+      hints_(&store_, &book_, &fleet_, LimitsOf(*settings).value_bytes / 2 - kPageRest),
       rooms_(&book_, &fleet_, &rentals_, &store_, ports.clock, settings, tuning),
       ranking_(&book_, &rooms_, ports.clock, tuning),
       placer_(&book_, &fleet_, &rooms_, &ranking_, &rentals_, ports.clock, tuning),
@@ -114,11 +119,12 @@
 
 void Leader::Loaded(const std::vector<std::pair<RowId, std::string>>& rows) {
   for (const auto& [id, text] : rows) {
-    if (rentals_.LoadRow(id, text)) continue;
+    if (rentals_.LoadRow(id, text) || hints_.LoadRow(id, text)) continue;
     if (!book_.LoadRow(id, text)) spdlog::error("a stored row is not understood: {}", text);
   }
   const double now = ports_.clock->Now();
   book_.FinishLoad(now, ports_.clock->Wall());
+  hints_.FinishLoad();
   for (JobIdx j : book_.live()) {
     Job& job = book_[j];
     job.left = job.saved_left >= 0 ? job.saved_left : ranking_.WorkLeft(job);
@@ -126,6 +132,7 @@
   for (MachIdx m : fleet_.active()) fleet_.Touch(m);
   loaded_ = release_ = true;
   next_save_ = now + tuning_->save_s;
+  next_hints_ = now + kHintsEvery * tuning_->save_s;
   rentals_.Start();
   spdlog::info("term {}: {} live jobs, {} machines to account for, {} rows", term_,
                book_.live().size(), fleet_.Unaccounted(), rows.size());
@@ -399,6 +406,10 @@
     next_save_ = now + tuning_->save_s;
     SaveProgress();
   }
+  if (now >= next_hints_) {
+    next_hints_ = now + kHintsEvery * tuning_->save_s;
+    hints_.Save();
+  }
   store_.Pump();
 }
 
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cloud/cloud_port.h"
+#include "fleet/cache_hints.h"
 #include "fleet/worker_port.h"
 #include "leader/placer.h"
 #include "leader/planner.h"
@@ -120,6 +121,7 @@
   JobBook book_;
   Fleet fleet_;
   Rentals rentals_;
+  CacheHints hints_;
   Rooms rooms_;
   Ranking ranking_;
   Placer placer_;
@@ -134,6 +136,7 @@
   double next_pass_ = 0;
   double next_plan_ = 0;
   double next_save_ = 0;
+  double next_hints_ = 0;
   double next_watch_ = 0;
   double pass_after_ = 0;
   double next_release_ = 0;
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -256,6 +256,36 @@
   EXPECT_TRUE(b.report.tasks.empty());  // cleared
 }
 
+// Found on the fleet's zone day: after a change of term replicas went where their image
+// had to be fetched, although most machines held it.
+TEST(Takeover, TheNextLeaderKnowsWhereImagesAre) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "east");
+  JobSpec other = w.Array("job-1", 4);  // all of a machine
+  other.image = "other";
+  w.Submit(other);
+  w.Pass(1);
+  FakeWorker& full = a.Has("job-1/0") ? a : b;
+  FakeWorker& held = &full == &a ? b : a;
+  w.Submit(w.Service("job-2", 1));
+  w.Pass(1);
+  ASSERT_TRUE(held.Has("job-2/0"));
+  w.Ask(UserOp::kCancel, "job-1");
+  w.Ask(UserOp::kCancel, "job-2");
+  w.Pass(w.tuning.save_s * 4);
+  for (int i = 0; i < 2; ++i) {  // known to the one after the next, too
+    w.Lead();
+    w.Pass(w.tuning.save_s * 4);
+  }
+  w.Submit(w.Service("job-3", 3));
+  w.Pass(2);
+  // All three where the image is, although they rather keep apart.
+  EXPECT_EQ(held.Has("job-3/0") + held.Has("job-3/1") + held.Has("job-3/2"), 3);
+}
+
 TEST(Takeover, AFormerLeadersLateCommandIsShutOut) {
   World w;
   w.Lead();
