--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -293,7 +293,14 @@
   PlaceSome(j, true, SIZE_MAX);
   if (job.waiting.empty()) return;
   size_t coming = 0;
-  if (FetchSeconds(job) > tuning_->long_fetch_s) coming = Preempt(j, true, job.waiting.size());
+  if (FetchSeconds(job) > tuning_->long_fetch_s) {
+    // When many are lost at once, the next pass is far sooner than any fetch.
+    if (preempting_ >= kMostPreempting) {
+      fleet_->changed = true;
+      return;
+    }
+    coming = Preempt(j, true, job.waiting.size());
+  }
   if (coming >= job.waiting.size()) return;
   PlaceSome(j, false, job.waiting.size() - coming);
   if (job.waiting.size() > coming) Preempt(j, false, job.waiting.size() - coming);
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -571,6 +571,36 @@
   EXPECT_TRUE(a.Has("job-2/0"));
 }
 
+// Found on the fleet's zone day: with many services to bring back at once, those that one
+// pass did not get to were sent where their image takes half a minute to fetch.
+TEST(Placer, ReplicasThatAPassDoesNotGetToWaitForTheNextOne) {
+  World w;
+  w.settings.teams = {{"blue", 0, 0, 0, 0}};
+  w.settings.max_sockets = 4000;
+  w.cloud.refuse = true;
+  w.cloud.types[0].fetch_gb_per_s = 0.05;
+  w.tuning.headroom_share = w.tuning.headroom_machines = w.tuning.headroom_boots = 0;
+  w.Lead();
+  std::vector<FakeWorker*> with;
+  for (int i = 0; i < 10; ++i) with.push_back(&w.Machine("m-" + std::to_string(i), "east"));
+  JobSpec seed = w.Service("job-0", 10, 1);  // one on each: the image is there
+  w.Submit(seed);
+  w.Pass(2);
+  w.Submit(w.Array("job-1", 70, 1));  // takes the rest
+  w.Pass(2);
+  std::vector<FakeWorker*> without;
+  for (int i = 0; i < 10; ++i) without.push_back(&w.Machine("m-1" + std::to_string(i), "east"));
+  w.state.refuse = true;  // all are accepted together
+  for (int i = 0; i < 40; ++i) w.Submit(w.Service("job-2" + std::to_string(i), 1, 1));
+  w.state.refuse = false;
+  w.Pass(2);
+  size_t there = 0;
+  for (const FakeWorker* m : with) {
+    for (const std::string& s : m->started) there += s.starts_with("job-2") ? 1 : 0;
+  }
+  EXPECT_EQ(there, 40U);
+}
+
 // Found on a grown deployment's steady day: an idle job ranked first was stopped for a
 // normal one, and placed again before it, 150 times.
 TEST(Placer, AJobIsNotStoppedForOneThatIsRankedBehindIt) {
