--- /dev/null
+++ b/src/leader/leader_cuts.cc
@@ -0,0 +1,118 @@
+// Zones that are cut off with all that runs there: how they are told from machines that
+// are lost, and what a later leader must know of them.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "leader/leader.h"
+
+namespace deckhall {
+namespace {
+
+// A zone in which so few machines were heard, of so many, within this part of the
+// interval of reports, while its controllers are not heard either, is cut off. It is
+// no more when more are heard again.
+constexpr double kCutWindow = 0.6;
+constexpr double kCutBegins = 0.05;
+constexpr double kCutEnds = 0.2;
+constexpr size_t kCutLeast = 6;
+
+}  // namespace
+
+void Leader::SayUnanswered(MachIdx mi) {
+  // Should the next leader have to wait for its own beginning, our hold and a lease,
+  // what runs behind the cut would be missing for that long.
+  Machine& m = fleet_[mi];
+  if (!m.accounted || m.row == kNoRow || !fleet_.Ours(m) || m.unanswered_since >= 0) return;
+  const double silent = ports_.clock->Now() - std::max(m.heard_at, m.answered_at);
+  m.unanswered_since = ports_.clock->Wall() - silent;
+  rentals_.SaveMachine(mi, false);
+}
+
+void Leader::TakeBack(uint32_t zone) {
+  for (MachIdx mi : fleet_.active()) {
+    Machine& m = fleet_[mi];
+    if (m.zone != zone || m.unanswered_since < 0) continue;
+    m.unanswered_since = -1;
+    m.taking_back = true;
+    rentals_.SaveMachine(mi, true);
+  }
+}
+
+bool Leader::TakenBack(MachIdx mi) {
+  Machine& m = fleet_[mi];
+  if (m.taking_back && store_.Durable(m.row)) m.taking_back = false;
+  return m.unanswered_since < 0 && !m.taking_back;
+}
+
+bool Leader::BehindCut(const Machine& m) const {
+  return m.zone != kNone && ports_.doubtful && ports_.doubtful(book_.zones[m.zone]);
+}
+
+// A machine already known to be silent, or behind a cut, says nothing new about the way: many such,
+// kept behind a cut, would otherwise make the leader doubt itself.
+void Leader::Counted(const Machine& m, bool answered) {
+  if (answered) {
+    answered_ += 1;
+    in_a_row_ = 0;
+    last_answer_ = ports_.clock->Now();
+  } else if (m.probe_fails == 0 && m.do_fails == 0 && !BehindCut(m)) {
+    unanswered_ += 1;
+    ++in_a_row_;
+  }
+}
+
+void Leader::FindCuts() {
+  const double now = ports_.clock->Now();
+  const double window = settings_->report_s * kCutWindow;
+  struct Count {
+    size_t known = 0;
+    size_t heard = 0;
+  };
+  std::vector<Count> count(book_.zones.size());
+  for (MachIdx mi : fleet_.active()) {
+    const Machine& m = fleet_[mi];
+    // Those that ever reported, under whichever leader.
+    if (m.zone == kNone || m.returning || m.endpoint.empty()) continue;
+    ++count[m.zone].known;
+    if (now - m.heard_at < window) ++count[m.zone].heard;
+  }
+  cut_.resize(book_.zones.size(), 0);
+  const std::vector<char> before = cut_;
+  for (uint32_t z = 0; z < cut_.size(); ++z) {
+    const std::string& name = book_.zones[z];
+    const auto known = static_cast<double>(count[z].known);
+    const auto heard = static_cast<double>(count[z].heard);
+    const bool guarded = std::any_of(settings_->siblings.begin(), settings_->siblings.end(),
+                                     [&name](const Peer& p) { return p.site == name; }) &&
+                         !(ports_.doubtful && ports_.doubtful(name));
+    const bool was = cut_[z] != 0;
+    if (name == settings_->site || count[z].known < kCutLeast) {
+      cut_[z] = 0;
+    } else if (!was) {
+      cut_[z] = now - began_ > window + 1 && !guarded && heard < known * kCutBegins;
+    } else {
+      cut_[z] = heard < known * kCutEnds;
+    }
+    if (was == (cut_[z] != 0)) continue;
+    if (was) {
+      spdlog::info("zone {}: {} of {} machines are heard again", name, heard, known);
+    } else {
+      spdlog::warn("zone {} is cut off: {} of {} machines heard of late; waiting for their leases",
+                   name, heard, known);
+    }
+  }
+  rooms_.SetCut(cut_);
+  for (MachIdx mi : fleet_.active()) {
+    Machine& m = fleet_[mi];
+    const bool cut = m.zone != kNone && cut_[m.zone] != 0 && now - m.heard_at >= window;
+    if (cut != m.cut) m.stale = true;
+    if (cut && !m.cut) SayUnanswered(mi);
+    m.cut = cut;
+  }
+  for (uint32_t z = 0; z < cut_.size(); ++z) {
+    if (cut_[z] == 0 && before[z] != 0) TakeBack(z);
+  }
+}
+
+}  // namespace deckhall
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -170,7 +170,7 @@
     if (count > 0) AddWant(&wants, wants.size(), need, count);
   }
   // Arrays: enough to work off what waits in the time the operator set.
-  auto waits = [this, now](const Job& job) {
+  auto waits = [now](const Job& job) {
     return job.life == JobLife::kLive && !job.waiting.empty() && now >= job.backoff_until &&
            job.fail_streak < 3;
   };
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -38,7 +38,7 @@
     return;
   }
   const std::string what = call.method + " " + call.path;
-  http_.Call(at_, std::move(call),
+  http_.Call(at_, call,
              [this, what, reader = std::move(reader), done = std::move(done)](const HttpResult& r) {
                StateAnswer answer;
                if (r.status == 0) {
