--- a/src/leader/leader_cuts.cc
+++ b/src/leader/leader_cuts.cc
@@ -16,6 +16,9 @@
 constexpr double kCutBegins = 0.05;
 constexpr double kCutEnds = 0.2;
 constexpr size_t kCutLeast = 6;
+// Of fewer machines, or where no controller tells, all may happen to be between two
+// reports: then all must be overdue.
+constexpr size_t kCutByWindow = 20;
 
 }  // namespace
 
@@ -65,9 +68,11 @@
 void Leader::FindCuts() {
   const double now = ports_.clock->Now();
   const double window = settings_->report_s * kCutWindow;
+  const double overdue = settings_->report_s * 1.3 + 0.5;
   struct Count {
     size_t known = 0;
     size_t heard = 0;
+    size_t in_time = 0;
   };
   std::vector<Count> count(book_.zones.size());
   for (MachIdx mi : fleet_.active()) {
@@ -76,21 +81,24 @@
     if (m.zone == kNone || m.returning || m.endpoint.empty()) continue;
     ++count[m.zone].known;
     if (now - m.heard_at < window) ++count[m.zone].heard;
+    if (now - m.heard_at < overdue) ++count[m.zone].in_time;
   }
   cut_.resize(book_.zones.size(), 0);
   const std::vector<char> before = cut_;
   for (uint32_t z = 0; z < cut_.size(); ++z) {
     const std::string& name = book_.zones[z];
     const auto known = static_cast<double>(count[z].known);
-    const auto heard = static_cast<double>(count[z].heard);
-    const bool guarded = std::any_of(settings_->siblings.begin(), settings_->siblings.end(),
-                                     [&name](const Peer& p) { return p.site == name; }) &&
-                         !(ports_.doubtful && ports_.doubtful(name));
+    const bool watched = std::any_of(settings_->siblings.begin(), settings_->siblings.end(),
+                                     [&name](const Peer& p) { return p.site == name; });
+    const bool guarded = watched && !(ports_.doubtful && ports_.doubtful(name));
+    const bool by_window = watched && count[z].known >= kCutByWindow;
+    const auto heard = static_cast<double>(by_window ? count[z].heard : count[z].in_time);
     const bool was = cut_[z] != 0;
     if (name == settings_->site || count[z].known < kCutLeast) {
       cut_[z] = 0;
     } else if (!was) {
-      cut_[z] = now - began_ > window + 1 && !guarded && heard < known * kCutBegins;
+      cut_[z] = now - began_ > (by_window ? window : overdue) + 1 && !guarded &&
+                heard < known * kCutBegins;
     } else {
       cut_[z] = heard < known * kCutEnds;
     }
