--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -519,5 +519,25 @@
   EXPECT_LE(many.second, 300U + few.second);
 }
 
+// Nor does a takeover look at a machine more often because there are others.
+TEST(Size, TheWorkOfATakeoverGrowsNoFasterThanTheFleet) {
+  auto work = [](int machines) {
+    World w;
+    w.cloud.refuse = true;
+    w.settings.max_sockets = 4000;
+    w.settings.teams = {{"blue", 0, 0, 0, 0}};
+    w.tuning.message_ms = 0.001;  // all are greeted at once
+    w.Lead();
+    for (int i = 0; i < machines; ++i) w.Machine("m-" + std::to_string(i), "east");
+    w.Submit(w.Service("job-1", static_cast<uint32_t>(machines)));
+    w.Pass(3);
+    w.Lead();
+    w.Pass(3);
+    EXPECT_EQ(w.leader->fleet().Unaccounted(), 0U);
+    return static_cast<double>(w.leader->steps()) / machines;
+  };
+  EXPECT_LE(work(400), work(40) * 1.2);
+}
+
 }  // namespace
 }  // namespace deckhall
