The controller's composition moves from the I/O shell into the deterministic core

Election, mesh, leadership and who answers whom are in app/controller and mesh/mesh, driven by events and time; the connections are in app/process and mesh/mesh_links. So that tests can bring meetings of troubles about with several real controllers.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -1,29 +1,19 @@
 #include "app/controller.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
-#include <random>
 
 namespace deckhall {
 namespace {
 
-constexpr double kTick = 0.02;
 constexpr double kRelayTimeout = 1.5;
 constexpr double kSubmitRelayTimeout = 3.0;
 constexpr double kReportRelayTimeout = 2.0;
 constexpr double kRetiredFor = 15;  // longer than any request of a leader lasts
-constexpr double kLogEvery = 60;
 // A leader that can't reach most workers for so long lets another one lead, and
 // runs again only after a while.
 constexpr double kUnreachedFor = 2;
 constexpr double kStepAside = 20;
 
-uint64_t RandomInstance() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32 | device()) | 1;
-}
-
 ElectionOptions ElectionOf(const Settings& s, const Tuning& t, uint64_t instance) {
   ElectionOptions o;
   o.label = s.label;
@@ -33,12 +23,6 @@
   return o;
 }
 
-HttpServerLimits ServerLimits(const Settings& s) {
-  HttpServerLimits l;
-  l.connections = static_cast<size_t>(ServedConnections(s));
-  return l;
-}
-
 UserReply NoLeader() {
   UserReply r;
   r.status = 503;
@@ -49,23 +33,14 @@
 
 }  // namespace
 
-Controller::Controller(Loop* loop, Settings settings, Tuning tuning)
-    : loop_(loop),
+Controller::Controller(const ControllerPorts& ports, Settings settings, Tuning tuning,
+                       uint64_t instance)
+    : ports_(ports),
       settings_(std::move(settings)),
       tuning_(tuning),
-      instance_(RandomInstance()),
-      state_(loop, &clock_, settings_.state, settings_.state_rps, settings_.state_write_rps),
-      cloud_(loop, &clock_, settings_.cloud, settings_.cloud_rps),
-      workers_(loop, static_cast<size_t>(WorkerConnections(settings_))),
-      election_(&state_, &clock_, ElectionOf(settings_, tuning_, instance_)),
-      mesh_(loop, &clock_, settings_.label, instance_, settings_.mesh_addr, settings_.siblings,
+      election_(ports.state, ports.clock, ElectionOf(settings_, tuning_, instance)),
+      mesh_(ports.links, ports.clock, settings_.label, instance, settings_.siblings,
             [this](Mesh::Body body, const Mesh::Reply& reply) { Served(std::move(body), reply); }),
-      front_(&clock_,
-             {[this](UserAsk a, Front::UserDone d) { User(std::move(a), std::move(d)); },
-              [this](Report r, Front::ReportDone d) { CheckIn(std::move(r), std::move(d)); },
-              [this] { return Up(); }}),
-      ticker_(loop, [this] { Tick(); }),
-      kick_(loop, [this] { Tick(); }),
       health_(settings_.label) {
   election_.on_won = [this](uint64_t term) { Won(term); };
   election_.on_lost = [this] { Lost(); };
@@ -75,23 +50,14 @@
       election_.Abdicate("a peer knows of a higher term");
     }
   };
-  server_ = std::make_unique<HttpServer>(
-      loop, settings_.serve_on, ServerLimits(settings_),
-      [this](const HttpMessage& m, const HttpServer::Reply& r) { front_.Handle(m, r); });
-  next_log_ = clock_.Now() + kLogEvery;
-  ticker_.Start(0, kTick);
-  spdlog::info("{} up, instance {:x}", settings_.label, instance_);
 }
 
 Controller::~Controller() = default;
 
-void Controller::Kick() {
-  if (!kick_.active()) kick_.Start(0);
-}
-
 void Controller::Tick() {
-  const double now = clock_.Now();
+  const double now = ports_.clock->Now();
   election_.Tick();
+  mesh_.Tick();
   const bool holding = leader_ && leader_->loaded();
   mesh_.SetLeading(holding && election_.Trusted(), holding, election_.term());
   if (leader_) leader_->Tick();
@@ -100,20 +66,15 @@
   }
   std::erase_if(retired_, [now](const Retired& r) { return now - r.since > kRetiredFor; });
   health_.Note(now, mesh_.Leader(), election_.Trusted(), mesh_.Silence());
-  if (now >= next_log_) {
-    next_log_ = now + kLogEvery;
-    front_.LogLatency();
-    workers_.Trim();
-  }
 }
 
 void Controller::Won(uint64_t term) {
   mesh_.NoteTerm(term);
   LeaderPorts ports;
-  ports.state = &state_;
-  ports.cloud = &cloud_;
-  ports.workers = &workers_;
-  ports.clock = &clock_;
+  ports.state = ports_.state;
+  ports.cloud = ports_.cloud;
+  ports.workers = ports_.workers;
+  ports.clock = ports_.clock;
   ports.lease = this;
   ports.quiet_since = [this](uint64_t t) { return mesh_.QuietSince(t); };
   ports.doubtful = [this](const std::string& zone) {
@@ -131,13 +92,13 @@
   mesh_.SetLeading(false, false, 0);
   if (!leader_) return;
   leader_->Retire();
-  retired_.push_back({clock_.Now(), std::move(leader_)});
+  retired_.push_back({ports_.clock->Now(), std::move(leader_)});
 }
 
-void Controller::User(UserAsk ask, Front::UserDone done) {
+void Controller::User(UserAsk ask, UserDone done) {
   if (leader_ && leader_->loaded()) {
     leader_->User(ask, std::move(done));
-    Kick();
+    on_work();
     return;
   }
   const std::string to = mesh_.Leader();
@@ -152,10 +113,10 @@
   });
 }
 
-void Controller::CheckIn(Report report, Front::ReportDone done) {
+void Controller::CheckIn(Report report, ReportDone done) {
   if (leader_) {
     done(leader_->OnReport(report));
-    Kick();
+    on_work();
     return;
   }
   const std::string to = mesh_.Leader();
@@ -184,19 +145,17 @@
       return;
     }
     leader_->User(*ask, [reply](const UserReply& r) { reply(r); });
-    Kick();
+    on_work();
   } else if (auto* report = std::get_if<Report>(&body)) {
     if (!leader_) {
       reply(ReportReply());
       return;
     }
     reply(leader_->OnReport(*report));
-    Kick();
+    on_work();
   } else {
     reply(std::monostate());
   }
 }
 
-bool Controller::Up() { return health_.Up(clock_.Now()); }
-
 }  // namespace deckhall
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -1,57 +1,63 @@
-// One controller: the I/O shell around the core.
+// One controller without its connections: election, mesh, leadership and who answers
+// users and workers. Events and time in, actions out through the ports; process.h gives
+// it real connections, the tests scripted ones.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "api/front.h"
 #include "app/health.h"
 #include "app/settings.h"
 #include "app/tuning.h"
-#include "cloud/cloud_client.h"
-#include "fleet/worker_client.h"
 #include "leader/election.h"
 #include "leader/leader.h"
 #include "mesh/mesh.h"
-#include "state/state_client.h"
 
 namespace deckhall {
 
-class SystemClock : public Clock {
- public:
-  double Now() const override { return SteadySeconds(); }
-  double Wall() const override { return WallSeconds(); }
+struct ControllerPorts {
+  StatePort* state = nullptr;
+  CloudPort* cloud = nullptr;
+  WorkerPort* workers = nullptr;
+  MeshTransport* links = nullptr;
+  const Clock* clock = nullptr;
 };
 
 class Controller : public LeaseView {
  public:
-  Controller(Loop* loop, Settings settings, Tuning tuning);
+  using UserDone = std::function<void(const UserReply&)>;
+  using ReportDone = std::function<void(const ReportReply&)>;
+
+  Controller(const ControllerPorts& ports, Settings settings, Tuning tuning, uint64_t instance);
   ~Controller() override;
   Controller(const Controller&) = delete;
   Controller& operator=(const Controller&) = delete;
 
+  void Tick();
+  void User(UserAsk ask, UserDone done);
+  void CheckIn(Report report, ReportDone done);
+  bool Up() const { return health_.Up(ports_.clock->Now()); }
+  Mesh& mesh() { return mesh_; }
+  const Election& election() const { return election_; }
+  // Null while another one leads.
+  const Leader* leader() const { return leader_.get(); }
+
   bool Trusted() const override { return election_.Trusted(); }
   double TrustedUntil() const override { return election_.trusted_until(); }
 
+  // Something may have become due: Tick soon.
+  std::function<void()> on_work = [] {};
+
  private:
-  void Tick();
-  void Kick();
   void Won(uint64_t term);
   void Lost();
-  void User(UserAsk ask, Front::UserDone done);
-  void CheckIn(Report report, Front::ReportDone done);
   void Served(Mesh::Body body, const Mesh::Reply& reply);
-  bool Up();
 
-  Loop* loop_;
-  SystemClock clock_;
+  ControllerPorts ports_;
   Settings settings_;
   Tuning tuning_;
-  uint64_t instance_;
-  StateClient state_;
-  CloudClient cloud_;
-  WorkerClient workers_;
   Election election_;
   std::unique_ptr<Leader> leader_;
   struct Retired {
@@ -60,12 +66,7 @@
   };
   std::vector<Retired> retired_;
   Mesh mesh_;
-  Front front_;
-  std::unique_ptr<HttpServer> server_;
-  Timer ticker_;
-  Timer kick_;
   Health health_;
-  double next_log_ = 0;
 };
 
 }  // namespace deckhall
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -9,7 +9,7 @@
 #include <iostream>
 #include <sstream>
 
-#include "app/controller.h"
+#include "app/process.h"
 
 namespace {
 
@@ -82,7 +82,7 @@
   SetUpLog(settings.label);
   try {
     deckhall::Loop loop;
-    const deckhall::Controller controller(&loop, settings, tuning);
+    const deckhall::Process process(&loop, settings, tuning);
     loop.Run();
   } catch (const std::exception& e) {
     spdlog::error("{}", e.what());
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -1,7 +1,5 @@
 #include "mesh/mesh.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
 namespace deckhall {
@@ -10,34 +8,26 @@
 constexpr double kPingEvery = 0.3;
 constexpr double kFresh = 1.0;  // a peer heard within this is there
 constexpr double kDoubt = 10;
-constexpr double kRedial = 0.5;
 constexpr double kRefusal = 1.5;
-constexpr double kRefusedWithin = 0.3;
-constexpr double kStuck = 1.5;  // a link silent for this long is dialled anew
-constexpr size_t kMaxInbound = 64;
+constexpr double kPassedOnFor = 2;
 constexpr size_t kMaxPending = 2000;
-constexpr size_t kMaxUnsent = 1 << 20;
 constexpr uint8_t kMaxHops = 1;
+constexpr size_t kNoLink = SIZE_MAX;
 
 }  // namespace
 
-Mesh::Mesh(Loop* loop, const Clock* clock, std::string label, uint64_t instance,
-           const Endpoint& listen, std::vector<Peer> peers, Server server)
-    : loop_(loop),
+Mesh::Mesh(MeshTransport* transport, const Clock* clock, std::string label, uint64_t instance,
+           std::vector<Peer> peers, Server server)
+    : transport_(transport),
       clock_(clock),
       label_(std::move(label)),
       instance_(instance),
       server_(std::move(server)),
-      quiet_(peers.size()),
-      reaper_(loop, [this] { dropped_.clear(); }),
-      ticker_(loop, [this] { Tick(); }),
-      listener_(loop, listen, [this](std::unique_ptr<TcpConn> c) { Accept(std::move(c)); }) {
+      quiet_(peers.size()) {
   for (Peer& p : peers) {
-    links_.push_back(std::make_unique<Link>());
-    links_.back()->peer = std::move(p);
-    links_.back()->index = links_.size() - 1;
+    links_.emplace_back();
+    links_.back().peer = std::move(p);
   }
-  ticker_.Start(0, kPingEvery);
 }
 
 MeshPing Mesh::SelfPing() const {
@@ -49,8 +39,8 @@
   ping.informed = informed_;
   ping.term = holding_ ? term_ : highest_term_;
   ping.leader = holding_ ? label_ : FreshLeader();
-  for (const auto& link : links_) {
-    if (Hears(link->peer.label)) ping.reaches.push_back(link->peer.label);
+  for (const Link& link : links_) {
+    if (Hears(link)) ping.reaches.push_back(link.peer.label);
   }
   return ping;
 }
@@ -61,15 +51,15 @@
   holding_ = holding;
   term_ = term;
   if (leading || holding) highest_term_ = std::max(highest_term_, term);
-  if (changed) Tick();
+  if (changed) SendPings();
 }
 
 // A peer that says itself that it leads, in the highest term heard.
 std::string Mesh::FreshLeader() const {
   const Link* best = nullptr;
-  for (const auto& link : links_) {
-    if (!Hears(link->peer.label) || (!link->last.leading && !link->last.holding)) continue;
-    if (best == nullptr || link->last.term > best->last.term) best = link.get();
+  for (const Link& link : links_) {
+    if (!Hears(link) || (!link.last.leading && !link.last.holding)) continue;
+    if (best == nullptr || link.last.term > best->last.term) best = &link;
   }
   return best == nullptr ? std::string() : best->peer.label;
 }
@@ -79,26 +69,25 @@
   std::string direct = FreshLeader();
   if (!direct.empty()) return direct;
   const Link* best = nullptr;
-  for (const auto& link : links_) {
-    const MeshPing& p = link->last;
-    if (!Hears(link->peer.label) || p.leader.empty() || p.leader == label_) continue;
-    if (best == nullptr || p.term > best->last.term) best = link.get();
+  for (const Link& link : links_) {
+    const MeshPing& p = link.last;
+    if (!Hears(link) || p.leader.empty() || p.leader == label_) continue;
+    if (best == nullptr || p.term > best->last.term) best = &link;
   }
   return best == nullptr ? std::string() : best->last.leader;
 }
 
+bool Mesh::Hears(const Link& link) const { return clock_->Now() - link.heard < kFresh; }
+
 bool Mesh::Hears(const std::string& label) const {
-  for (const auto& link : links_) {
-    if (link->peer.label == label) return clock_->Now() - link->heard < kFresh;
-  }
-  return false;
+  const size_t at = Find(label);
+  return at != kNoLink && Hears(links_[at]);
 }
 
 bool Mesh::Doubtful(const std::string& site) const {
-  for (const auto& link : links_) {
-    if (link->peer.site == site && clock_->Now() - link->missed < kDoubt) return true;
-  }
-  return false;
+  return std::any_of(links_.begin(), links_.end(), [this, &site](const Link& link) {
+    return link.peer.site == site && clock_->Now() - link.missed < kDoubt;
+  });
 }
 
 double Mesh::QuietSince(uint64_t term) const {
@@ -111,59 +100,43 @@
 }
 
 bool Mesh::Refuses(const std::string& label) const {
-  return std::any_of(links_.begin(), links_.end(), [this, &label](const auto& link) {
-    return link->peer.label == label && clock_->Now() - link->refused < kRefusal;
-  });
+  const size_t at = Find(label);
+  return at != kNoLink && clock_->Now() - links_[at].refused < kRefusal;
 }
 
 double Mesh::Silence() const {
   double best = 1e9;
-  for (const auto& link : links_) best = std::min(best, clock_->Now() - link->heard);
+  for (const Link& link : links_) best = std::min(best, clock_->Now() - link.heard);
   return best;
 }
 
-Mesh::Link* Mesh::Find(const std::string& label) {
-  for (auto& link : links_) {
-    if (link->peer.label == label) return link.get();
+size_t Mesh::Find(const std::string& label) const {
+  for (size_t i = 0; i < links_.size(); ++i) {
+    if (links_[i].peer.label == label) return i;
   }
-  return nullptr;
+  return kNoLink;
 }
 
-Mesh::Link* Mesh::Route(const std::string& label) {
-  Link* straight = Find(label);
-  if (straight != nullptr && Hears(label) && straight->tcp && straight->tcp->connected()) {
+size_t Mesh::Route(const std::string& label) const {
+  const size_t straight = Find(label);
+  if (straight != kNoLink && Hears(links_[straight]) && transport_->Connected(straight)) {
     return straight;
   }
-  for (auto& link : links_) {
-    const auto& reaches = link->last.reaches;
-    if (link.get() != straight && Hears(link->peer.label) && link->tcp && link->tcp->connected() &&
+  for (size_t i = 0; i < links_.size(); ++i) {
+    const auto& reaches = links_[i].last.reaches;
+    if (i != straight && Hears(links_[i]) && transport_->Connected(i) &&
         std::find(reaches.begin(), reaches.end(), label) != reaches.end()) {
-      return link.get();
+      return i;
     }
   }
-  return nullptr;
-}
-
-void Mesh::Send(Link* link, const MeshFrame& frame) {
-  if (!link->tcp || link->tcp->unsent() > kMaxUnsent) return;
-  std::string out;
-  EncodeFrame(frame, &out);
-  link->tcp->Send(out);
+  return kNoLink;
 }
 
 void Mesh::Tick() {
   const double now = clock_->Now();
-  for (auto& link : links_) {
-    if (!Hears(link->peer.label)) link->missed = now;
-    if (link->tcp && now - std::max(link->heard, link->connected_at) > kStuck) Hangup(link.get());
-    if (!link->tcp && now - link->tried > kRedial) Dial(link.get());
-    if (link->tcp && link->tcp->connected()) {
-      MeshFrame frame;
-      frame.target = link->peer.label;
-      frame.id = static_cast<uint64_t>(now * 1000);  // comes back with the answer
-      frame.body = SelfPing();
-      Send(link.get(), frame);
-    }
+  if (now >= next_ping_) {
+    next_ping_ = now + kPingEvery;
+    SendPings();
   }
   std::vector<uint64_t> late;
   for (auto& [id, p] : pending_) {
@@ -172,109 +145,43 @@
   for (uint64_t id : late) Settle(id, std::monostate());
 }
 
-void Mesh::Dial(Link* link) {
-  link->tried = link->connected_at = clock_->Now();
-  link->in.clear();
-  link->tcp = TcpConn::Connect(loop_, link->peer.at);
-  if (!link->tcp) return;
-  link->tcp->SetCallbacks(
-      [this, link](std::string_view bytes) {
-        const bool ok = Split(&link->in, bytes, [this, link](MeshFrame f) {
-          if (auto* ping = std::get_if<MeshPing>(&f.body)) {
-            link->heard = clock_->Now();
-            link->last = *ping;
-            quiet_.Heard(link->index, static_cast<double>(f.id) / 1000, ping->informed);
-            OnPing(*ping);
-          } else if (f.id != 0) {
-            Settle(f.id, std::move(f.body));
-          }
-        });
-        if (!ok) Hangup(link);
-      },
-      [this, link] { Hangup(link); });
-}
-
-void Mesh::Hangup(Link* link) {
-  if (!link->tcp) return;
+void Mesh::SendPings() {
   const double now = clock_->Now();
-  const bool refused = !link->tcp->connected() && now - link->tried < kRefusedWithin;
-  if (refused) link->refused = now;
-  if (now - link->heard < kRedial * 4) {
-    spdlog::info("the way to {} is {}", link->peer.label, refused ? "refused" : "lost");
+  for (size_t i = 0; i < links_.size(); ++i) {
+    if (!Hears(links_[i])) links_[i].missed = now;
+    if (!transport_->Connected(i)) continue;
+    MeshFrame frame;
+    frame.target = links_[i].peer.label;
+    frame.id = static_cast<uint64_t>(now * 1000);  // comes back with the answer
+    frame.body = SelfPing();
+    transport_->Send(i, frame);
   }
-  link->tcp->Abandon();
-  dropped_.push_back(std::move(link->tcp));
-  reaper_.Start(0);
-}
-
-void Mesh::Accept(std::unique_ptr<TcpConn> tcp) {
-  if (inbound_.size() >= kMaxInbound) inbound_.erase(inbound_.begin());
-  const uint64_t id = next_id_++;
-  TcpConn* raw = tcp.get();
-  inbound_[id].tcp = std::move(tcp);
-  auto drop = [this, id] {
-    auto it = inbound_.find(id);
-    if (it == inbound_.end()) return;
-    it->second.tcp->Abandon();
-    dropped_.push_back(std::move(it->second.tcp));
-    inbound_.erase(it);
-    reaper_.Start(0);
-  };
-  raw->SetCallbacks(
-      [this, id, drop](std::string_view bytes) {
-        auto it = inbound_.find(id);
-        if (it == inbound_.end()) return;
-        std::string in = std::move(it->second.in);
-        const bool ok = Split(&in, bytes, [this, id](MeshFrame f) { Serve(id, std::move(f)); });
-        it = inbound_.find(id);
-        if (it == inbound_.end()) return;
-        it->second.in = std::move(in);
-        if (!ok) drop();
-      },
-      drop);
 }
 
-bool Mesh::Split(std::string* in, std::string_view bytes,
-                 const std::function<void(MeshFrame)>& each) {
-  in->append(bytes);
-  size_t at = 0;
-  while (in->size() - at >= 4) {
-    uint32_t n = 0;
-    for (int i = 0; i < 4; ++i) {
-      n |= static_cast<uint32_t>(static_cast<unsigned char>((*in)[at + static_cast<size_t>(i)]))
-           << (8 * i);
-    }
-    if (n > kMaxFrame) return false;
-    if (in->size() - at - 4 < n) break;
-    MeshFrame frame;
-    if (!DecodeFrame(std::string_view(*in).substr(at + 4, n), &frame)) {
-      spdlog::warn("mesh: unreadable frame dropped with its connection");
-      return false;
-    }
-    at += 4 + n;
-    each(std::move(frame));
+void Mesh::OnAnswer(size_t peer, MeshFrame frame) {
+  Link& link = links_[peer];
+  if (auto* ping = std::get_if<MeshPing>(&frame.body)) {
+    link.heard = clock_->Now();
+    link.last = *ping;
+    quiet_.Heard(peer, static_cast<double>(frame.id) / 1000, ping->informed);
+    OnPing(*ping);
+  } else if (frame.id != 0) {
+    Settle(frame.id, std::move(frame.body));
   }
-  in->erase(0, at);
-  return true;
 }
 
 void Mesh::OnPing(const MeshPing& ping) {
-  if (ping.term > highest_term_) {
-    highest_term_ = ping.term;
-    if (on_higher_term) on_higher_term(ping.term);
-  }
+  if (ping.term <= highest_term_) return;
+  highest_term_ = ping.term;
+  if (on_higher_term) on_higher_term(ping.term);
 }
 
-void Mesh::Serve(uint64_t conn, MeshFrame frame) {
-  auto answer = [this, conn, id = frame.id](Body body) {
-    auto it = inbound_.find(conn);
-    if (it == inbound_.end() || it->second.tcp->unsent() > kMaxUnsent) return;
+void Mesh::OnRequest(MeshFrame frame, const std::function<void(const MeshFrame&)>& send) {
+  auto answer = [send, id = frame.id](Body body) {
     MeshFrame reply;
     reply.id = id;
     reply.body = std::move(body);
-    std::string out;
-    EncodeFrame(reply, &out);
-    it->second.tcp->Send(out);
+    send(reply);
   };
   if (auto* ping = std::get_if<MeshPing>(&frame.body)) {
     OnPing(*ping);
@@ -286,28 +193,28 @@
     return;
   }
   // Passed on once at most, and only along a straight link.
-  Link* link = Find(frame.target);
-  if (frame.hops >= kMaxHops || link == nullptr || !Hears(frame.target)) {
+  const size_t at = Find(frame.target);
+  if (frame.hops >= kMaxHops || at == kNoLink || !Hears(links_[at])) {
     answer(std::monostate());
     return;
   }
   const uint64_t id = next_id_++;
-  pending_[id] = {std::move(answer), clock_->Now() + 2.0};
+  pending_[id] = {std::move(answer), clock_->Now() + kPassedOnFor};
   frame.id = id;
   ++frame.hops;
-  Send(link, frame);
+  transport_->Send(at, frame);
 }
 
 void Mesh::Ask(const std::string& label, Body body, double timeout_s, Reply done) {
   const uint64_t id = next_id_++;
-  Link* link = pending_.size() < kMaxPending ? Route(label) : nullptr;
-  pending_[id] = {std::move(done), clock_->Now() + (link == nullptr ? 0 : timeout_s)};
-  if (link == nullptr) return;
+  const size_t at = pending_.size() < kMaxPending ? Route(label) : kNoLink;
+  pending_[id] = {std::move(done), clock_->Now() + (at == kNoLink ? 0 : timeout_s)};
+  if (at == kNoLink) return;
   MeshFrame frame;
   frame.id = id;
   frame.target = label;
   frame.body = std::move(body);
-  Send(link, frame);
+  transport_->Send(at, frame);
 }
 
 void Mesh::Settle(uint64_t id, Body body) {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -1,6 +1,6 @@
-// The controllers among themselves: who is alive, who leads, and the way there.
-// What a user or a worker asks of any node is passed to the leader, through the
-// third node when the straight way is blocked.
+// What the controllers tell each other: who leads in which term, and what users and
+// workers ask of a node that does not lead. Frames in and time in, frames out; the
+// connections are behind MeshTransport.
 #pragma once
 
 #include <functional>
@@ -22,6 +22,14 @@
   Endpoint at;
 };
 
+// One link to each peer, by index, that this node keeps dialled.
+class MeshTransport {
+ public:
+  virtual ~MeshTransport() = default;
+  virtual bool Connected(size_t peer) const = 0;
+  virtual void Send(size_t peer, const MeshFrame& frame) = 0;
+};
+
 class Mesh {
  public:
   using Body = decltype(MeshFrame::body);
@@ -29,16 +37,24 @@
   // Answers what another node passed to this one.
   using Server = std::function<void(Body, Reply)>;
 
-  Mesh(Loop* loop, const Clock* clock, std::string label, uint64_t instance, const Endpoint& listen,
+  Mesh(MeshTransport* transport, const Clock* clock, std::string label, uint64_t instance,
        std::vector<Peer> peers, Server server);
 
+  void Tick();
+  // A frame came over the link to the peer, in answer to one of ours.
+  void OnAnswer(size_t peer, MeshFrame frame);
+  // A frame came over a link that a peer dialled.
+  void OnRequest(MeshFrame frame, const std::function<void(const MeshFrame&)>& answer);
+  // An attempt to connect to the peer failed at once.
+  void OnRefused(size_t peer) { links_[peer].refused = clock_->Now(); }
+
   // What this node says of itself from now on.
   void SetLeading(bool leading, bool holding, uint64_t term);
   // The leader as gossip has it, or who last was and still holds on; empty when
   // none was heard of lately.
   std::string Leader() const;
   uint64_t HighestTerm() const { return highest_term_; }
-  // Asks a node; `done` is called once, from the loop.
+  // Asks a node; `done` is called once, from Tick or OnAnswer.
   void Ask(const std::string& label, Body body, double timeout_s, Reply done);
   // True when the peer was heard lately.
   bool Hears(const std::string& label) const;
@@ -62,42 +78,28 @@
  private:
   struct Link {
     Peer peer;
-    std::unique_ptr<TcpConn> tcp;
-    std::string in;
     double heard = -1e9;
-    double missed = -1e9;  // last time it was not heard
-    double tried = -1e9;
-    double connected_at = 0;
+    double missed = -1e9;   // last time it was not heard
     double refused = -1e9;  // an attempt to connect failed at once
     MeshPing last;
-    size_t index = 0;
-  };
-  struct Inbound {
-    std::unique_ptr<TcpConn> tcp;
-    std::string in;
   };
   struct Pending {
     Reply done;
     double deadline = 0;
   };
 
-  void Tick();
-  void Dial(Link* link);
-  void Hangup(Link* link);
-  void Accept(std::unique_ptr<TcpConn> tcp);
-  // False when the stream is broken.
-  bool Split(std::string* in, std::string_view bytes, const std::function<void(MeshFrame)>& each);
+  void SendPings();
   void OnPing(const MeshPing& ping);
-  void Serve(uint64_t conn, MeshFrame frame);
   void Settle(uint64_t id, Body body);
-  void Send(Link* link, const MeshFrame& frame);
-  Link* Find(const std::string& label);
+  // The index of the peer, or of none.
+  size_t Find(const std::string& label) const;
+  bool Hears(const Link& link) const;
   // The link over which frames for the label go now.
-  Link* Route(const std::string& label);
+  size_t Route(const std::string& label) const;
   MeshPing SelfPing() const;
   std::string FreshLeader() const;
 
-  Loop* loop_;
+  MeshTransport* transport_;
   const Clock* clock_;
   std::string label_;
   uint64_t instance_;
@@ -108,14 +110,10 @@
   uint64_t highest_term_ = 0;
   bool informed_ = false;
   Quiet quiet_;
-  std::vector<std::unique_ptr<Link>> links_;
-  std::map<uint64_t, Inbound> inbound_;
+  std::vector<Link> links_;
   std::map<uint64_t, Pending> pending_;
   uint64_t next_id_ = 1;
-  std::vector<std::unique_ptr<TcpConn>> dropped_;
-  Timer reaper_;
-  Timer ticker_;
-  TcpListener listener_;
+  double next_ping_ = 0;
 };
 
 }  // namespace deckhall
