A new page never takes an existing page's number: accepted jobs could be lost

Cause: new pages were numbered by how many were loaded. A page whose transaction was never carried out (its leader ended, or it was one of several on their way) is missing between two others; the next leader gave an existing number to a new page, both wrote the same key in turn, and the rows of one were gone: an accepted job got 404. Excluded: late transactions themselves, which die of their conditions.

--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -3,12 +3,13 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 
 namespace deckhall {
 namespace {
 
-const char* const kPrefix = "deckhall/pages/";
+const std::string kPrefix = "deckhall/pages/";
 constexpr size_t kTxnBytes = 56 << 10;
 constexpr int kMostFlights = 4;
 
@@ -26,6 +27,7 @@
   // An earlier try may have come half-way; its pages would be there twice.
   rows_.clear();
   pages_.clear();
+  next_page_ = 0;
   unreadable_ = 0;
   LoadFrom("", std::move(done));
 }
@@ -41,6 +43,12 @@
       Page page;
       page.key = kv.key;
       page.version = kv.version;
+      // Pages may be missing in between: their transaction was never carried out. A
+      // number taken twice would make two pages overwrite each other.
+      const std::string number = kv.key.substr(kPrefix.size());
+      uint64_t n = 0;
+      std::from_chars(number.data(), number.data() + number.size(), n);
+      next_page_ = std::max(next_page_, n + 1);
       const auto index = static_cast<uint32_t>(pages_.size());
       if (ParseJson(kv.value, &doc) && doc.IsArray()) {
         for (const auto& item : doc.GetArray()) {
@@ -85,8 +93,8 @@
   if (best != UINT32_MAX) return best;
   Page page;
   char name[32];
-  std::snprintf(name, sizeof name, "%06zu", pages_.size());
-  page.key = kPrefix + std::string(name);
+  std::snprintf(name, sizeof name, "%06llu", static_cast<unsigned long long>(next_page_++));
+  page.key = kPrefix + name;
   pages_.push_back(std::move(page));
   return static_cast<uint32_t>(pages_.size() - 1);
 }
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -87,8 +87,9 @@
   std::vector<Row> rows_;
   std::vector<RowId> free_rows_;
   std::vector<Page> pages_;
-  int flights_ = 0;        // transactions not answered yet
-  bool conflict_ = false;  // versions are read again once nothing is in flight
+  uint64_t next_page_ = 0;  // number of the next new page: above all that exist
+  int flights_ = 0;         // transactions not answered yet
+  bool conflict_ = false;   // versions are read again once nothing is in flight
   bool resolving_ = false;
   bool stopped_ = false;
   double retry_at_ = 0;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -190,6 +190,28 @@
   EXPECT_EQ(state.committed.size(), 3U);
 }
 
+// Found by drawn meetings of troubles: a page whose transaction was never carried out is
+// missing between two others. The next leader gave an existing page's number to a new one,
+// both overwrote each other, and accepted jobs were gone.
+TEST(RowStore, ANewPageNeverTakesTheNumberOfAnExistingOne) {
+  FakeClock clock;
+  FakeState state;
+  state.keys["leader"] = {"{}", 1, 0};
+  state.keys["deckhall/pages/000000"] = {R"([{"a":1}])", 2, 0};
+  state.keys["deckhall/pages/000002"] = {R"([{"a":2}])", 3, 0};
+  StoreLimits limits;
+  limits.value_bytes = 50;
+  RowStore store(&state, &clock, limits, "leader", 1);
+  store.Load([](bool, const auto&) {});
+  state.Run();
+  const RowId row = store.Add(std::string(40, '7'), 45, true);
+  store.Pump();
+  state.Run();
+  EXPECT_TRUE(store.Durable(row));
+  EXPECT_EQ(state.keys["deckhall/pages/000002"].value, R"([{"a":2}])");
+  EXPECT_EQ(state.keys.size(), 4U);  // the leader's and three pages
+}
+
 TEST(Settings, GoodOnesAreReadAndBadOnesNamed) {
   const std::string good =
       R"({"label":"n0","site":"a","serve_on":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
