--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -41,6 +41,15 @@
   return rate > 0 ? job.spec.image_gb / rate : 0;
 }
 
+// Ordinary room that replicas may need soon is not given to arrays. But none waits for
+// ever beside it: where nothing more can be rented, what found no place for so long gets
+// it, and gives way when a replica comes.
+double Placer::Reserve(const Job& job) const {
+  const bool starved = clock_->Now() - job.starved_since > tuning_->passed_over_s / 2;
+  if (job.spec.service || starved) return 0;
+  return rooms_->headroom() * tuning_->headroom_free;
+}
+
 void Placer::Put(JobIdx j, uint32_t node, uint64_t attempt) {
   Job& job = (*book_)[j];
   fleet_->Place(node, j, job.waiting.back(), attempt);
@@ -75,9 +84,8 @@
   if (InVain(need)) return;
   // A job that keeps failing shows its worth with one task at a time.
   if (job.fail_streak >= 3) most = std::min<size_t>(most, job.placed > 0 ? 0 : 1);
-  const double reserve = job.spec.service ? 0 : rooms_->headroom() * tuning_->headroom_free;
+  const double reserve = Reserve(job);
   auto ordinary = [&] {
-    // Ordinary room that replicas may need soon is not given to arrays.
     return job.spec.service || rooms_->free_ordinary() - reserve + kEps >= job.spec.cores;
   };
   if (!ordinary() && (!job.spec.spot || rooms_->free_spot() + kEps < job.spec.cores)) return;
@@ -224,8 +232,7 @@
   const double bearable =
       here ? tuning_->stop_for_image * FetchSeconds(job) * job.spec.cores : 1e18;
   // Room that arrays may not take is not made for them.
-  const bool ordinary = job.spec.service || rooms_->free_ordinary() + kEps >=
-                                                rooms_->headroom() * tuning_->headroom_free;
+  const bool ordinary = job.spec.service || rooms_->free_ordinary() + kEps >= Reserve(job);
   std::vector<Choice> choices;
   for (MachIdx mi : fleet_->active()) {
     if (wanted == 0) return all;
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -43,6 +43,7 @@
   // Seconds to fetch its image, on the slowest type.
   double FetchSeconds(const Job& job) const;
   double Patience(const Job& job) const;
+  double Reserve(const Job& job) const;
   bool InVain(const Need& need) const;
   void Put(JobIdx j, uint32_t node, uint64_t attempt);
   // What stopping tasks on the machine for the job would lose, in core-seconds; the
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -573,6 +573,29 @@
 
 // Found on the fleet's zone day: with many services to bring back at once, those that one
 // pass did not get to were sent where their image takes half a minute to fetch.
+// Found by drawn meetings of troubles: with nothing more to be rented, an array waited for
+// ever beside machines with room, kept for replicas that never came.
+TEST(Placer, RoomKeptForReplicasIsLentToWhatWaitsTooLong) {
+  World w;
+  w.cloud.refuse = true;
+  w.tuning.headroom_machines = 2;
+  w.tuning.headroom_free = 1;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  auto& b = w.Machine("m-2", "west");
+  w.Submit(w.Service("job-1", 1, 6));
+  w.Pass(1);
+  w.Submit(w.Array("job-2", 1, 4));
+  w.Pass(w.tuning.passed_over_s / 2 - 5);
+  EXPECT_FALSE(a.Has("job-2/0") || b.Has("job-2/0"));
+  w.Pass(10);
+  EXPECT_TRUE(a.Has("job-2/0") || b.Has("job-2/0"));
+  // It gives way as soon as a replica needs the room.
+  w.Submit(w.Service("job-3", 1, 6));
+  w.Pass(6);
+  EXPECT_TRUE(a.Has("job-3/0") || b.Has("job-3/0"));
+}
+
 TEST(Placer, ReplicasThatAPassDoesNotGetToWaitForTheNextOne) {
   World w;
   w.settings.teams = {{"blue", 0, 0, 0, 0}};
