--- /dev/null
+++ b/tests/cluster.cc
@@ -0,0 +1,781 @@
+#include "cluster.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace deckhall {
+namespace {
+
+constexpr double kTick = 0.05;
+constexpr double kWorkerTick = 0.25;
+constexpr double kReportTimeout = 4;
+constexpr double kCommitTimeout = 1;
+constexpr double kStateTimeout = 2;
+constexpr double kPollEvery = 5;
+constexpr double kPollTimeout = 2;
+constexpr double kAskTimeout = 5;
+constexpr double kLeaseLate = 0.1;
+const char* const kZones[] = {"east", "west", "north"};
+
+std::string NodeName(size_t i) { return "n" + std::to_string(i); }
+
+bool SplitName(const std::string& name, std::string* job, uint32_t* task) {
+  const size_t slash = name.rfind('/');
+  *job = name.substr(0, slash);
+  *task = static_cast<uint32_t>(std::stoul(name.substr(slash + 1)));
+  return true;
+}
+
+}  // namespace
+
+// One process: everything of it is dropped when it ends.
+struct Cluster::Shell {
+  size_t index = 0;
+  std::string name;
+  bool dead = false;
+  double frozen_until = -1;
+  std::unique_ptr<StateLink> state;
+  std::unique_ptr<CloudLink> cloud;
+  std::unique_ptr<WorkerLink> workers;
+  std::unique_ptr<Links> links;
+  std::unique_ptr<Controller> controller;
+};
+
+struct Cluster::Links : MeshTransport {
+  Cluster* c;
+  std::weak_ptr<Shell> self;
+  std::vector<size_t> peers;  // node index by peer index
+
+  bool Connected(size_t peer) const override {
+    const auto& other = c->shells_[peers[peer]];
+    const CutNow* cut = c->Blocked(self.lock()->name, NodeName(peers[peer]));
+    return other && (cut == nullptr || cut->mode != CutMode::kRefuse);
+  }
+  void Send(size_t peer, const MeshFrame& frame) override {
+    auto from = self.lock();
+    auto to = c->shells_[peers[peer]];
+    if (!to) return;
+    Cluster* cluster = c;
+    cluster->Carry(from->name, to->name, [cluster, from, to, peer, frame] {
+      cluster->OnNode(to, [cluster, from, to, peer, frame] {
+        to->controller->mesh().OnRequest(frame, [cluster, from, to, peer](const MeshFrame& reply) {
+          cluster->Carry(to->name, from->name, [cluster, from, peer, reply] {
+            cluster->OnNode(
+                from, [from, peer, reply] { from->controller->mesh().OnAnswer(peer, reply); });
+          });
+        });
+      });
+    });
+  }
+};
+
+// Requests to the state service travel, are refused, or carried out late.
+struct Cluster::StateLink : StatePort {
+  Cluster* c;
+  std::weak_ptr<Shell> self;
+
+  // Carries out `act` at the service; the answer comes back unless something is in the way.
+  void Ask(double timeout, bool txn, std::function<StateAnswer()> act, Done done) {
+    auto shell = self.lock();
+    auto settled = std::make_shared<bool>(false);
+    auto answer = [c = c, shell, settled, done](const StateAnswer& a) {
+      c->OnNode(shell, [settled, done, a] {
+        if (std::exchange(*settled, true)) return;
+        done(a);
+      });
+    };
+    c->After(timeout, [answer] { answer(StateAnswer()); });
+    const bool late = txn && c->late_writes > 0 && c->Draw(c->late_writes);
+    Cluster* cluster = c;
+    cluster->Carry(shell->name, "state", [cluster, shell, act, answer, late] {
+      if (cluster->StateRefuses(shell->name)) {
+        StateAnswer a;
+        a.outcome = StateOutcome::kRefused;
+        cluster->Carry("state", shell->name, [answer, a] { answer(a); });
+        return;
+      }
+      if (late) {
+        cluster->After(std::uniform_real_distribution<double>(2, 12)(cluster->random_),
+                       [act] { act(); });
+        return;
+      }
+      const StateAnswer a = act();
+      cluster->After(cluster->slow_state_s, [cluster, shell, answer, a] {
+        cluster->Carry("state", shell->name, [answer, a] { answer(a); });
+      });
+    });
+  }
+  // The store answers at once into its own queue.
+  template <class Call>
+  std::function<StateAnswer()> Act(Call call) {
+    return [c = c, call] {
+      c->ExpireLeases();
+      StateAnswer out;
+      call(&c->store_, [&out](const StateAnswer& a) { out = a; });
+      c->store_.Run();
+      c->FireWatches();
+      return out;
+    };
+  }
+  void Commit(const Txn& txn, Done done) override {
+    Ask(kCommitTimeout, true, Act([txn](FakeState* s, Done d) { s->Commit(txn, d); }), done);
+  }
+  void Get(const std::string& key, Done done) override {
+    Ask(kStateTimeout, false, Act([key](FakeState* s, Done d) { s->Get(key, d); }), done);
+  }
+  void List(const std::string& prefix, const std::string& after, Done done) override {
+    Ask(kStateTimeout, false,
+        Act([prefix, after](FakeState* s, Done d) { s->List(prefix, after, d); }), done);
+  }
+  void Grant(int ttl_ms, Done done) override {
+    auto act = Act([ttl_ms](FakeState* s, Done d) { s->Grant(ttl_ms, d); });
+    Ask(
+        kStateTimeout, false,
+        [c = c, act, ttl_ms] {
+          const StateAnswer a = act();
+          c->lease_ttl_[a.number] = ttl_ms / 1000.0;
+          c->lease_until_[a.number] = c->clock_.now + ttl_ms / 1000.0;
+          return a;
+        },
+        done);
+  }
+  void Extend(uint64_t lease, double timeout_s, Done done) override {
+    auto act = Act([lease](FakeState* s, Done d) { s->Extend(lease, 0, d); });
+    Ask(
+        timeout_s, false,
+        [c = c, act, lease] {
+          const StateAnswer a = act();
+          if (a.outcome == StateOutcome::kOk) {
+            c->lease_until_[lease] = c->clock_.now + c->lease_ttl_[lease];
+          }
+          return a;
+        },
+        done);
+  }
+  void Drop(uint64_t lease, Done done) override {
+    Ask(kStateTimeout, false, Act([lease](FakeState* s, Done d) { s->Drop(lease, d); }), done);
+  }
+  void Watch(const std::string&, uint64_t after, int hold_ms, Done done) override {
+    auto shell = self.lock();
+    c->Carry(shell->name, "state", [c = c, shell, after, hold_ms, done] {
+      c->watching_.push_back({shell, after, c->clock_.now + hold_ms / 1000.0, done});
+      c->FireWatches();
+    });
+  }
+  double WriteRoom() override { return 100; }
+};
+
+struct Cluster::CloudLink : CloudPort {
+  Cluster* c;
+  std::weak_ptr<Shell> self;
+
+  void Reply(std::function<void()> fn) {
+    c->After(0.1, [c = c, shell = self.lock(), fn] { c->OnNode(shell, fn); });
+  }
+  void Types(std::function<void(bool, std::vector<MachineType>)> done) override {
+    Reply([c = c, done] { done(!c->cloud_out, c->cloud_.types); });
+  }
+  void Rent(const std::string&, const std::string&, const std::string&, bool, int,
+            std::function<void(RentAnswer)> done) override {
+    RentAnswer a;
+    a.refused = !c->cloud_out;  // the machines are those of the test
+    Reply([done, a] { done(a); });
+  }
+  void Return(const std::vector<std::string>& names, std::function<void(bool)> done) override {
+    const bool ok = !c->cloud_out;
+    for (const std::string& name : names) {
+      if (!ok) break;
+      c->oracle->MachineGone(c->clock_.now, name);
+      if (auto it = c->workers.find(name); it != c->workers.end()) it->second.gone = true;
+    }
+    Reply([done, ok] { done(ok); });
+  }
+  void List(const std::string&,
+            std::function<void(bool, std::vector<ListedMachine>, bool)> done) override {
+    std::vector<ListedMachine> rows;
+    for (const auto& [name, w] : c->workers) {
+      if (w.gone) continue;
+      rows.push_back({name, w.report.endpoint, w.report.type, w.report.zone, w.report.spot,
+                      ListedState::kRunning, c->clock_.now});
+    }
+    Reply([done, rows, ok = !c->cloud_out] { done(ok, rows, false); });
+  }
+};
+
+struct Cluster::WorkerLink : WorkerPort {
+  Cluster* c;
+  std::weak_ptr<Shell> self;
+
+  void Ask(const std::string& endpoint, double timeout, std::function<WorkerAnswer(SimWorker*)> act,
+           Done done) {
+    auto shell = self.lock();
+    auto settled = std::make_shared<bool>(false);
+    auto answer = [c = c, shell, settled, done](const WorkerAnswer& a) {
+      c->OnNode(shell, [settled, done, a] {
+        if (std::exchange(*settled, true)) return;
+        done(a);
+      });
+    };
+    WorkerAnswer none;
+    none.sent = true;
+    c->After(timeout, [answer, none] { answer(none); });
+    const std::string name = endpoint.substr(0, endpoint.find(':'));
+    Cluster* cluster = c;
+    // A hanging machine carries it out when it goes on.
+    auto arrive = std::make_shared<std::function<void()>>();
+    *arrive = [cluster, shell, name, act, answer, weak = std::weak_ptr(arrive)] {
+      auto it = cluster->workers.find(name);
+      if (it == cluster->workers.end() || it->second.gone) return;
+      SimWorker& w = it->second;
+      if (cluster->clock_.now < w.deaf_until) return;
+      if (cluster->clock_.now < w.hangs_until) {
+        if (auto again = weak.lock()) cluster->At(w.hangs_until, [again] { (*again)(); });
+        return;
+      }
+      cluster->CheckLease(&w);
+      const WorkerAnswer a = act(&w);
+      cluster->Carry(name, shell->name, [answer, a] { answer(a); });
+    };
+    cluster->Carry(shell->name, name, [arrive] { (*arrive)(); });
+  }
+  void Do(const std::string& endpoint, uint64_t token, uint64_t session,
+          const std::vector<Command>& commands, double timeout, Done done) override {
+    Ask(
+        endpoint, timeout,
+        [c = c, token, session, commands, sent = c->clock_.now](SimWorker* w) {
+          WorkerAnswer a;
+          a.sent = a.has_report = true;
+          const bool ok = token >= w->report.token && session == w->report.session;
+          if (ok) c->Execute(w, sent, token, commands);
+          ++w->report.seq;
+          a.status = ok ? 200 : 409;
+          a.report = w->report;
+          return a;
+        },
+        done);
+  }
+  void Inspect(const std::string& endpoint, double timeout, Done done) override {
+    Ask(
+        endpoint, timeout,
+        [](SimWorker* w) {
+          WorkerAnswer a;
+          a.sent = a.has_report = true;
+          a.status = 200;
+          ++w->report.seq;
+          a.report = w->report;
+          return a;
+        },
+        done);
+  }
+};
+
+Cluster::Cluster(uint64_t seed, size_t nodes) : random_(seed) {
+  settings.zones = {"east", "west", "north"};
+  settings.teams = {{"blue", 16, 24, 0, 0}, {"red", 0, 0, 0, 0}};
+  settings.report_s = 3;
+  settings.lease_s = 20;
+  settings.cancel_s = 40;
+  tuning.idle_spot_boots = tuning.idle_ordinary_boots = 1000;
+  MachineType t;
+  t.name = "box";
+  t.cores = 8;
+  t.memory_gb = 64;
+  t.price = 1;
+  t.spot_price = 0.4;
+  t.boot_s = 30;
+  t.fetch_gb_per_s = 1;
+  t.zones = settings.zones;
+  cloud_.types = {t};
+  oracle = std::make_unique<Oracle>(settings.teams, settings.cancel_s);
+  shells_.resize(nodes);
+  for (size_t i = 0; i < nodes; ++i) Boot(i);
+  At(clock_.now + 1, [this] { Watch(); });
+}
+
+Cluster::~Cluster() { events_.clear(); }
+
+void Cluster::Boot(size_t i) {
+  if (shells_[i]) return;
+  auto shell = std::make_shared<Shell>();
+  shell->index = i;
+  shell->name = NodeName(i);
+  Settings s = settings;
+  s.label = shell->name;
+  s.site = kZones[i % 3];
+  shell->links = std::make_unique<Links>();
+  for (size_t j = 0; j < shells_.size(); ++j) {
+    if (j == i) continue;
+    s.siblings.push_back({NodeName(j), kZones[j % 3], {}});
+    shell->links->peers.push_back(j);
+  }
+  shell->state = std::make_unique<StateLink>();
+  shell->cloud = std::make_unique<CloudLink>();
+  shell->workers = std::make_unique<WorkerLink>();
+  shell->links->c = shell->state->c = shell->cloud->c = shell->workers->c = this;
+  shell->links->self = shell->state->self = shell->cloud->self = shell->workers->self = shell;
+  shell->controller = std::make_unique<Controller>(
+      ControllerPorts{shell->state.get(), shell->cloud.get(), shell->workers.get(),
+                      shell->links.get(), &clock_},
+      s, tuning, next_instance_++);
+  shells_[i] = shell;
+  TickNode(shell);
+}
+
+void Cluster::Crash(size_t i) {
+  if (!shells_[i]) return;
+  shells_[i]->dead = true;
+  shells_[i]->controller.reset();
+  shells_[i] = nullptr;
+}
+
+void Cluster::Freeze(size_t i, double for_s) {
+  if (!shells_[i]) return;
+  shells_[i]->frozen_until = clock_.now + for_s;
+  oracle->TroubleUntil(clock_.now + for_s);
+}
+
+void Cluster::CutOneWay(const std::string& from, const std::string& to, double for_s,
+                        CutMode mode) {
+  cuts_[{from, to}] = {clock_.now + for_s, mode};
+  oracle->TroubleUntil(clock_.now + for_s);
+}
+
+void Cluster::Cut(const std::string& a, const std::string& b, double for_s, CutMode mode) {
+  CutOneWay(a, b, for_s, mode);
+  CutOneWay(b, a, for_s, mode);
+}
+
+void Cluster::StateOutage(double for_s) {
+  state_out_until_ = clock_.now + for_s;
+  oracle->TroubleUntil(state_out_until_);
+  // After an outage every lease has its full time again.
+  for (auto& [lease, until] : lease_until_) {
+    if (store_.leases.contains(lease) && until > clock_.now) {
+      until = state_out_until_ + lease_ttl_[lease];
+    }
+  }
+}
+
+const Cluster::CutNow* Cluster::Blocked(const std::string& from, const std::string& to) const {
+  auto group = [](const std::string& who) { return who.starts_with("m-") ? "workers" : who; };
+  for (const auto& key : {std::pair(from, to), std::pair(std::string(group(from)), to),
+                          std::pair(from, std::string(group(to)))}) {
+    auto it = cuts_.find(key);
+    if (it != cuts_.end() && it->second.until > clock_.now) return &it->second;
+  }
+  return nullptr;
+}
+
+double Cluster::Delay() { return std::uniform_real_distribution<double>(0.001, 0.004)(random_); }
+
+void Cluster::Carry(const std::string& from, const std::string& to, std::function<void()> fn) {
+  const CutNow* cut = Blocked(from, to);
+  if (cut == nullptr) {
+    After(Delay(), std::move(fn));
+  } else if (cut->mode == CutMode::kHold) {
+    At(cut->until + Delay(), std::move(fn));
+  }
+}
+
+void Cluster::OnNode(const std::shared_ptr<Shell>& shell, std::function<void()> fn) {
+  if (shell->dead) return;
+  if (clock_.now < shell->frozen_until) {
+    At(shell->frozen_until, [this, shell, fn] { OnNode(shell, fn); });
+    return;
+  }
+  if (spdlog::should_log(spdlog::level::debug)) {
+    spdlog::set_pattern(std::to_string(clock_.now) + " " + shell->name + " %v");
+  }
+  fn();
+}
+
+void Cluster::TickNode(const std::shared_ptr<Shell>& shell) {
+  OnNode(shell, [this, shell] {
+    shell->controller->Tick();
+    After(kTick, [this, shell] { TickNode(shell); });
+  });
+}
+
+bool Cluster::StateRefuses(const std::string& who) const {
+  const CutNow* cut = Blocked(who, "state");
+  return clock_.now < state_out_until_ || (cut != nullptr && cut->mode == CutMode::kRefuse);
+}
+
+void Cluster::ExpireLeases() {
+  for (auto it = lease_until_.begin(); it != lease_until_.end();) {
+    if (clock_.now < it->second + kLeaseLate) {
+      ++it;
+      continue;
+    }
+    if (store_.leases.contains(it->first)) store_.EndLease(it->first);
+    it = lease_until_.erase(it);
+  }
+}
+
+void Cluster::FireWatches() {
+  if (clock_.now < state_out_until_) return;
+  auto entry = store_.keys.find(Election::kKey);
+  const uint64_t version = entry == store_.keys.end() ? UINT64_MAX : entry->second.version;
+  for (Watching& w : std::exchange(watching_, {})) {
+    auto shell = w.shell.lock();
+    if (!shell || shell->dead) continue;
+    const bool refused = StateRefuses(shell->name);
+    if (refused || (version == w.after && clock_.now < w.until)) {
+      watching_.push_back(std::move(w));
+      continue;
+    }
+    StateAnswer a;
+    a.outcome = StateOutcome::kOk;
+    a.number = store_.revision;
+    Carry("state", shell->name,
+          [this, shell, done = w.done, a] { OnNode(shell, [done, a] { done(a); }); });
+  }
+}
+
+SimWorker& Cluster::AddWorker(const std::string& zone, bool spot) {
+  const std::string name = "m-" + std::to_string(next_machine_++);
+  SimWorker& w = workers[name];
+  w.report.machine = name;
+  w.report.endpoint = name + ":1";
+  w.report.type = "box";
+  w.report.zone = zone;
+  w.report.spot = spot;
+  w.report.session = 1;
+  w.node = workers.size() % shells_.size();
+  w.lease_from = clock_.now;
+  After(std::uniform_real_distribution<double>(0, settings.report_s)(random_),
+        [this, name] { WorkerTick(name); });
+  return w;
+}
+
+void Cluster::Hang(const std::string& machine, double for_s) {
+  workers[machine].hangs_until = clock_.now + for_s;
+  oracle->TroubleUntil(clock_.now + for_s);
+}
+void Cluster::Deaf(const std::string& machine, double for_s) {
+  workers[machine].deaf_until = clock_.now + for_s;
+  oracle->TroubleUntil(clock_.now + for_s);
+}
+void Cluster::Mute(const std::string& machine, double for_s) {
+  workers[machine].mute_until = clock_.now + for_s;
+  oracle->TroubleUntil(clock_.now + for_s);
+}
+
+void Cluster::ReplayReports(const std::string& machine) {
+  for (const Report& r : workers[machine].sent) {
+    for (const auto& shell : shells_) {
+      if (!shell) continue;
+      OnNode(shell, [shell, r] { shell->controller->CheckIn(r, [](const ReportReply&) {}); });
+    }
+  }
+}
+
+void Cluster::EndTask(SimWorker* w, TaskReport* t, ExitWhy why) {
+  std::string job;
+  uint32_t task = 0;
+  SplitName(t->task, &job, &task);
+  t->state = TaskState::kExited;
+  t->why = why;
+  w->ends_at.erase(t->task);
+  oracle->Ended(clock_.now, job, task, w->report.machine, why == ExitWhy::kDone);
+}
+
+void Cluster::CheckLease(SimWorker* w) {
+  if (clock_.now - w->lease_from <= settings.lease_s) return;
+  for (TaskReport& t : w->report.tasks) {
+    if (t.state != TaskState::kExited) EndTask(w, &t, ExitWhy::kStopped);
+  }
+  w->report.tasks.clear();
+  ++w->report.session;
+  w->lease_from = clock_.now;
+  w->next_report = clock_.now;
+}
+
+double Cluster::Used(const SimWorker& w) const {
+  double cores = 0;
+  for (const TaskReport& t : w.report.tasks) {
+    if (t.state == TaskState::kExited) continue;
+    cores += specs_.at(t.task.substr(0, t.task.rfind('/'))).cores;
+  }
+  return cores;
+}
+
+void Cluster::Launch(SimWorker* w, double commanded_at, const Command& c) {
+  std::string job;
+  uint32_t task = 0;
+  SplitName(c.task, &job, &task);
+  TaskReport t{c.task, c.attempt, TaskState::kRunning, ExitWhy::kNone, false};
+  auto refuse = [w, &t](ExitWhy why) {
+    t.state = TaskState::kExited;
+    t.why = why;
+    w->report.tasks.push_back(t);
+  };
+  const bool here = std::any_of(
+      w->report.tasks.begin(), w->report.tasks.end(),
+      [&c](const TaskReport& o) { return o.task == c.task && o.state != TaskState::kExited; });
+  if (!specs_.contains(job)) return refuse(ExitWhy::kUnknown);
+  if (here) return refuse(ExitWhy::kInUse);
+  const JobSpec& spec = specs_.at(job);
+  if (Used(*w) + spec.cores > cloud_.types[0].cores + 1e-6) return refuse(ExitWhy::kNoRoom);
+  w->report.tasks.push_back(t);
+  if (!spec.service) w->ends_at[c.task] = clock_.now + run_s;
+  oracle->Started(clock_.now, commanded_at, job, task,
+                  {w->report.machine, w->report.type, w->report.zone, w->report.spot, 0, 0});
+}
+
+void Cluster::Execute(SimWorker* w, double commanded_at, uint64_t token,
+                      const std::vector<Command>& commands) {
+  if (token > w->report.token) w->next_report = std::min(w->next_report, clock_.now + 0.5);
+  w->report.token = std::max(w->report.token, token);
+  for (const Command& c : commands) {
+    auto it = std::find_if(
+        w->report.tasks.begin(), w->report.tasks.end(),
+        [&c](const TaskReport& t) { return t.task == c.task && t.attempt == c.attempt; });
+    const bool known = it != w->report.tasks.end();
+    if (c.op == CommandOp::kStart && !known) {
+      Launch(w, commanded_at, c);
+    } else if (c.op == CommandOp::kStop && known && it->state != TaskState::kExited) {
+      EndTask(w, &*it, ExitWhy::kStopped);
+    } else if (c.op == CommandOp::kForget && known && it->state == TaskState::kExited) {
+      w->report.tasks.erase(it);
+      continue;
+    } else {
+      continue;
+    }
+    w->next_report = std::min(w->next_report, clock_.now + 0.5);
+  }
+}
+
+void Cluster::WorkerTick(const std::string& name) {
+  SimWorker& w = workers[name];
+  if (w.gone) return;
+  After(kWorkerTick, [this, name] { WorkerTick(name); });
+  CheckLease(&w);  // what hangs beyond its lease never goes on
+  if (clock_.now < w.hangs_until) return;
+  for (TaskReport& t : w.report.tasks) {
+    auto it = w.ends_at.find(t.task);
+    if (t.state == TaskState::kExited || it == w.ends_at.end() || clock_.now < it->second) continue;
+    EndTask(&w, &t, ExitWhy::kDone);
+    w.next_report = std::min(w.next_report, clock_.now);
+  }
+  if (!w.waiting && clock_.now >= w.next_report) SendReport(name);
+}
+
+void Cluster::NextNode(SimWorker* w, double after_s) {
+  w->node = (w->node + 1) % shells_.size();
+  w->next_report = clock_.now + after_s;
+}
+
+void Cluster::SendReport(const std::string& name) {
+  SimWorker& w = workers[name];
+  auto shell = shells_[w.node];
+  const CutNow* cut = Blocked(name, NodeName(w.node));
+  if (!shell || clock_.now < w.mute_until || (cut != nullptr && cut->mode == CutMode::kRefuse)) {
+    NextNode(&w, 1);
+    return;
+  }
+  ++w.report.seq;
+  w.waiting = true;
+  const uint64_t number = ++w.asked;
+  const double sent = clock_.now;
+  w.sent.push_back(w.report);
+  if (w.sent.size() > 8) w.sent.erase(w.sent.begin());
+  After(kReportTimeout, [this, name, number] {
+    SimWorker& late = workers[name];
+    if (late.asked != number || !late.waiting) return;
+    late.waiting = false;
+    ++late.asked;
+    NextNode(&late, 1);
+  });
+  Carry(name, shell->name, [this, shell, name, number, sent, report = w.report] {
+    OnNode(shell, [this, shell, name, number, sent, report] {
+      shell->controller->CheckIn(report, [this, shell, name, number, sent](const ReportReply& r) {
+        Carry(shell->name, name, [this, name, number, sent, answered = clock_.now, r] {
+          Reported(name, number, sent, answered, r);
+        });
+      });
+    });
+  });
+}
+
+void Cluster::Reported(const std::string& name, uint64_t number, double sent, double answered,
+                       const ReportReply& r) {
+  SimWorker& w = workers[name];
+  if (w.gone || !w.waiting || w.asked != number || clock_.now < w.deaf_until ||
+      clock_.now < w.hangs_until) {
+    return;
+  }
+  w.waiting = false;
+  std::uniform_real_distribution<double> jitter(0.75, 1.25);
+  if (r.status == 421 && !r.report_to.empty()) {
+    w.node = static_cast<size_t>(std::stoul(r.report_to.substr(1)));
+    w.next_report = clock_.now + 0.1;
+    return;
+  }
+  if (r.status != 200) {
+    NextNode(&w, 1);
+    return;
+  }
+  w.next_report = clock_.now + settings.report_s * jitter(random_);
+  const uint64_t session = w.report.session;
+  CheckLease(&w);
+  if (r.token < w.report.token || session != w.report.session) return;
+  w.lease_from = sent;
+  Execute(&w, answered, r.token, r.commands);
+}
+
+void Cluster::Ask(UserOp op, const std::string& id, std::function<void(const UserReply&)> done) {
+  auto settled = std::make_shared<bool>(false);
+  auto answer = [this, op, id, settled, done, asked = clock_.now](const UserReply& r) {
+    if (std::exchange(*settled, true)) return;
+    oracle->Told(clock_.now, asked, op, id, r);
+    done(r);
+  };
+  UserReply none;
+  none.status = 0;
+  After(op == UserOp::kGet ? kPollTimeout : kAskTimeout, [answer, none] { answer(none); });
+  std::vector<std::shared_ptr<Shell>> up;
+  for (const auto& shell : shells_) {
+    if (shell && shell->controller->Up()) up.push_back(shell);
+  }
+  if (up.empty()) return;
+  auto shell = up[std::uniform_int_distribution<size_t>(0, up.size() - 1)(random_)];
+  UserAsk ask;
+  ask.op = op;
+  ask.id = id;
+  if (op == UserOp::kSubmit) ask.job = specs_.at(id);
+  Carry("users", shell->name, [this, shell, ask, answer] {
+    OnNode(shell, [this, shell, ask, answer] {
+      shell->controller->User(ask, [this, shell, answer](const UserReply& r) {
+        Carry(shell->name, "users", [answer, r] { answer(r); });
+      });
+    });
+  });
+}
+
+void Cluster::Submit(const JobSpec& spec) {
+  specs_[spec.id] = spec;
+  oracle->Asked(spec);
+  Ask(UserOp::kSubmit, spec.id, [this, spec](const UserReply& r) {
+    if (r.status == 200 || r.status == 201) {
+      if (accepted_.insert(spec.id).second) Poll(spec.id);
+    } else if (r.status != 400 && r.status != 422) {
+      After(1, [this, spec] { Submit(spec); });
+    }
+  });
+}
+
+void Cluster::Cancel(const std::string& id) {
+  oracle->CancelAsked(id);
+  Ask(UserOp::kCancel, id, [this, id](const UserReply& r) {
+    if (r.status == 200) {
+      if (r.state == JobState::kCancelled) cancelled_.try_emplace(id, clock_.now);
+    } else if (r.status != 404) {
+      After(1, [this, id] { Cancel(id); });
+    }
+  });
+}
+
+void Cluster::Poll(const std::string& id) {
+  Ask(UserOp::kGet, id, [](const UserReply&) {});
+  std::uniform_real_distribution<double> jitter(0.8, 1.2);
+  After(kPollEvery * jitter(random_), [this, id] { Poll(id); });
+}
+
+JobSpec Cluster::Array(const std::string& id, uint32_t tasks, double cores) const {
+  JobSpec s;
+  s.id = id;
+  s.klass = "sums";
+  s.team = "blue";
+  s.tasks = tasks;
+  s.cores = cores;
+  s.memory_gb = 4;
+  s.image = "img";
+  s.image_gb = 1;
+  s.estimate_s = 30;
+  return s;
+}
+
+JobSpec Cluster::Service(const std::string& id, uint32_t tasks, double cores) const {
+  JobSpec s = Array(id, tasks, cores);
+  s.klass = "live";
+  s.service = true;
+  s.priority = Priority::kProduction;
+  s.estimate_s = 0;
+  return s;
+}
+
+void Cluster::Watch() {
+  std::vector<Oracle::Place> open;
+  for (const auto& [name, w] : workers) {
+    const double now = clock_.now;
+    if (w.gone || now < w.hangs_until || now < w.deaf_until || now < w.mute_until) continue;
+    open.push_back({name, w.report.type, w.report.zone, w.report.spot,
+                    cloud_.types[0].cores - Used(w), cloud_.types[0].memory_gb});
+  }
+  oracle->Step(clock_.now, open);
+  ExpireLeases();
+  FireWatches();
+  After(0.25, [this] { Watch(); });
+}
+
+void Cluster::Run(double seconds) {
+  RunUntil([] { return false; }, seconds);
+}
+
+bool Cluster::RunUntil(const std::function<bool()>& when, double most_s) {
+  const double end = clock_.now + most_s;
+  while (!when()) {
+    if (events_.empty() || events_.begin()->first > end) {
+      clock_.now = end;
+      return when();
+    }
+    auto next = events_.extract(events_.begin());
+    clock_.now = std::max(clock_.now, next.key());
+    next.mapped()();
+  }
+  return true;
+}
+
+Controller* Cluster::node(size_t i) { return shells_[i] ? shells_[i]->controller.get() : nullptr; }
+
+size_t Cluster::Leader() const {
+  for (size_t i = 0; i < shells_.size(); ++i) {
+    const auto& s = shells_[i];
+    if (s && s->controller->Trusted() && s->controller->leader() != nullptr &&
+        s->controller->leader()->loaded()) {
+      return i;
+    }
+  }
+  return SIZE_MAX;
+}
+
+size_t Cluster::On(const std::string& job) const {
+  size_t n = 0;
+  for (const auto& [name, w] : workers) {
+    if (w.gone) continue;
+    n += static_cast<size_t>(
+        std::count_if(w.report.tasks.begin(), w.report.tasks.end(), [&job](const TaskReport& t) {
+          return t.state != TaskState::kExited && t.task.starts_with(job + "/");
+        }));
+  }
+  return n;
+}
+
+std::string Cluster::MachineOf(const std::string& task) const {
+  for (const auto& [name, w] : workers) {
+    for (const TaskReport& t : w.report.tasks) {
+      if (!w.gone && t.task == task && t.state != TaskState::kExited) return name;
+    }
+  }
+  return "";
+}
+
+std::string Cluster::Broken() const {
+  std::string out;
+  for (const std::string& line : oracle->broken()) out += line + "\n";
+  return out;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/tests/meeting_test.cc
@@ -0,0 +1,219 @@
+// Meetings of troubles, brought about over several real controllers.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "cluster.h"
+
+namespace deckhall {
+namespace {
+
+// A small cluster at work: a service, arrays, a leader.
+std::unique_ptr<Cluster> AtWork(uint64_t seed, size_t nodes = 3) {
+  auto c = std::make_unique<Cluster>(seed, nodes);
+  for (int i = 0; i < 6; ++i) c->AddWorker(i % 2 == 0 ? "east" : "west");
+  EXPECT_TRUE(c->RunUntil([&] { return c->Leader() != SIZE_MAX; }, 20));
+  c->Run(10);
+  c->Submit(c->Service("job-1", 3));
+  c->run_s = 300;
+  c->Submit(c->Array("job-2", 6));
+  EXPECT_TRUE(c->RunUntil([&] { return c->On("job-1") == 3 && c->On("job-2") == 6; }, 30))
+      << c->Broken();
+  return c;
+}
+
+struct Gap {
+  double refused_s;
+  double outage_after_s;
+  bool without_peers;
+};
+
+class GapTest : public testing::TestWithParam<Gap> {};
+
+TEST_P(GapTest, WhatTheNextLeaderConfirmedIsGoneInTime) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    const Gap gap = GetParam();
+    auto c = AtWork(seed);
+    const size_t a = c->Leader();
+    const std::string name = "n" + std::to_string(a);
+    const double outage = c->settings.cancel_s + 20;
+    c->Cut(name, "state", gap.refused_s, CutMode::kRefuse);
+    if (gap.without_peers) {
+      for (size_t i = 0; i < 3; ++i) {
+        if (i != a) c->Cut(name, "n" + std::to_string(i), outage, CutMode::kHold);
+      }
+    }
+    c->Cancel("job-1");
+    c->Cancel("job-2");
+    c->Run(gap.outage_after_s);
+    c->StateOutage(outage);
+    c->Run(outage + 120);
+    EXPECT_EQ(c->Broken(), "") << "seed " << seed;
+    EXPECT_EQ(c->On("job-1") + c->On("job-2"), 0U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Spells, GapTest,
+                         testing::Values(Gap{1, 0.2, false}, Gap{5, 1.2, false},
+                                         Gap{14, 1.5, false}, Gap{14, 2, false}, Gap{30, 5, false},
+                                         Gap{14, 1.4, true}, Gap{14, 2, true}, Gap{30, 5, true}));
+
+// Draws troubles and users' deeds for two minutes, then lets all settle. Everything is
+// watched by the oracle throughout.
+class Mix {
+ public:
+  explicit Mix(uint64_t seed) : c_(seed, seed % 3 == 0 ? 5 : 3), nodes_(seed % 3 == 0 ? 5 : 3) {}
+
+  std::string Play() {
+    for (int i = 0; i < 8; ++i) c_.AddWorker(kZones[i % 3], i % 4 == 3);
+    if (Chance(0.3)) c_.late_writes = 0.1;
+    if (Chance(0.3)) c_.slow_state_s = 0.3;
+    c_.Run(8);
+    for (int i = 0; i < 4; ++i) NewJob();
+    for (int i = 0; i < 30; ++i) {
+      c_.Run(Between(0.05, 8));
+      if (Chance(0.5)) NewJob();
+      if (Chance(0.3) && !jobs_.empty()) c_.Cancel(Any(jobs_));
+      Trouble();
+    }
+    c_.late_writes = 0;
+    c_.slow_state_s = 0;
+    c_.cloud_out = false;
+    for (size_t i = 0; i < nodes_; ++i) c_.Boot(i);
+    // Machines that were given up are replaced by new ones.
+    for (int i = 0; i < 4; ++i) c_.AddWorker(kZones[i % 3]);
+    c_.oracle->TroubleUntil(c_.now() + 1);
+    c_.Run(60);
+    c_.run_s = 3;
+    c_.Run(240);
+    return c_.Broken();
+  }
+  size_t Starts() const { return c_.oracle->starts(); }
+
+ private:
+  static constexpr const char* kZones[] = {"east", "west", "north"};
+
+  bool Chance(double p) { return std::uniform_real_distribution<double>(0, 1)(c_.random()) < p; }
+  double Between(double a, double b) {
+    return std::uniform_real_distribution<double>(a, b)(c_.random());
+  }
+  size_t Index(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(c_.random()); }
+  const std::string& Any(const std::vector<std::string>& of) { return of[Index(of.size())]; }
+  std::string Node() {
+    // The leader more often than others.
+    const size_t leader = c_.Leader();
+    return "n" + std::to_string(leader != SIZE_MAX && Chance(0.6) ? leader : Index(nodes_));
+  }
+  std::string Machine() { return "m-" + std::to_string(1 + Index(c_.workers.size())); }
+
+  void NewJob() {
+    const std::string id = "job-" + std::to_string(jobs_.size() + 1);
+    JobSpec s = Chance(0.3) ? c_.Service(id, 1 + static_cast<uint32_t>(Index(4)))
+                            : c_.Array(id, 1 + static_cast<uint32_t>(Index(6)));
+    if (Chance(0.3))
+      s.one_zone = true;
+    else if (Chance(0.3))
+      s.apart = true;
+    else if (Chance(0.2))
+      s.zone = kZones[Index(3)];
+    if (Chance(0.3)) s.spot = true;
+    if (Chance(0.4)) s.team = "red";
+    jobs_.push_back(id);
+    c_.run_s = Between(2, 60);
+    c_.Submit(s);
+  }
+
+  CutMode Mode() {
+    const CutMode modes[] = {CutMode::kHold, CutMode::kDrop, CutMode::kRefuse};
+    return modes[Index(3)];
+  }
+
+  void Trouble() {
+    const double long_s = c_.settings.cancel_s * 1.5;
+    const double for_s = Chance(0.3) ? Between(c_.settings.lease_s, long_s) : Between(0.2, 15);
+    const std::string node = Node();
+    const size_t at = std::stoul(node.substr(1));
+    const size_t kind = Index(16);
+    spdlog::debug("TROUBLE {} kind {} node {} for {} s", c_.now(), kind, node, for_s);
+    switch (kind) {
+      case 0:
+        c_.Cut(node, "state", for_s, CutMode::kRefuse);
+        break;
+      case 1:
+        c_.StateOutage(for_s);
+        break;
+      case 2:
+        c_.Cut(node, "state", for_s, Mode());
+        for (size_t i = 0; i < nodes_; ++i) {
+          if (i != at) c_.Cut(node, "n" + std::to_string(i), for_s, Mode());
+        }
+        break;
+      case 3:
+        c_.Cut(node, "workers", for_s, Mode());
+        break;
+      case 4:
+      case 5:
+        c_.Crash(at);
+        c_.Run(Chance(0.5) ? Between(0.01, 0.3) : Between(2, 8));
+        c_.Boot(at);
+        break;
+      case 6:
+        c_.Freeze(at, Between(0.5, 12));
+        break;
+      case 7:
+        c_.Hang(Machine(), for_s);
+        break;
+      case 8:
+        c_.Deaf(Machine(), for_s);
+        break;
+      case 9:
+        c_.Mute(Machine(), for_s);
+        break;
+      case 10:
+        c_.ReplayReports(Machine());
+        break;
+      case 11:
+        c_.Cut(node, Machine(), for_s, Mode());
+        break;
+      case 12:
+        c_.cloud_out = !c_.cloud_out;
+        break;
+      case 13:
+        for (size_t i = 0; i < nodes_; ++i) c_.Crash(i);
+        c_.Run(Chance(0.3) ? c_.settings.lease_s + 3 : Between(0.05, 5));
+        for (size_t i = 0; i < nodes_; ++i) c_.Boot(i);
+        break;
+      case 14:
+        c_.Cut(node, "state", Between(1, 14), CutMode::kRefuse);
+        c_.Run(Between(0.2, 3));
+        if (!jobs_.empty()) c_.Cancel(Any(jobs_));
+        c_.Run(Between(0.1, 1));
+        c_.StateOutage(long_s);
+        break;
+      default:
+        c_.CutOneWay(node, Machine(), for_s, Mode());
+        break;
+    }
+  }
+
+  Cluster c_;
+  size_t nodes_;
+  std::vector<std::string> jobs_;
+};
+
+TEST(Mix, OfManyTroublesBreaksNoRule) {
+  uint64_t from = 1;
+  uint64_t count = 20;
+  if (const char* word = std::getenv("DECKHALL_MIX")) {
+    from = std::stoull(word);
+    count = std::getenv("DECKHALL_MIX_ONE") != nullptr ? 1 : 1000;
+  }
+  for (uint64_t seed = from; seed < from + count; ++seed) {
+    if (std::getenv("DECKHALL_MIX_ONE") != nullptr) spdlog::set_level(spdlog::level::debug);
+    Mix mix(seed);
+    EXPECT_EQ(mix.Play(), "") << "seed " << seed;
+    EXPECT_GT(mix.Starts(), 10U);
+  }
+}
+
+}  // namespace
+}  // namespace deckhall
