--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -15,6 +15,8 @@
 constexpr double kPollEvery = 5;
 constexpr double kPollTimeout = 2;
 constexpr double kAskTimeout = 5;
+constexpr double kCloudTimeout = 5;
+constexpr double kCloudDelay = 0.1;
 constexpr double kLeaseLate = 0.1;
 const char* const kZones[] = {"east", "west", "north"};
 
@@ -35,6 +37,7 @@
   std::string name;
   bool dead = false;
   double frozen_until = -1;
+  NodeClock clock;
   std::unique_ptr<StateLink> state;
   std::unique_ptr<CloudLink> cloud;
   std::unique_ptr<WorkerLink> workers;
@@ -170,39 +173,98 @@
   Cluster* c;
   std::weak_ptr<Shell> self;
 
-  void Reply(std::function<void()> fn) {
-    c->After(0.1, [c = c, shell = self.lock(), fn] { c->OnNode(shell, fn); });
+  // Carries out `act` at the cloud, perhaps late; its answer comes back, or `none` in time.
+  template <class Answer>
+  void Ask(std::function<Answer()> act, Answer none, std::function<void(const Answer&)> done) {
+    auto shell = self.lock();
+    auto settled = std::make_shared<bool>(false);
+    auto answer = [c = c, shell, settled, done](const Answer& a) {
+      c->OnNode(shell, [settled, done, a] {
+        if (!std::exchange(*settled, true)) done(a);
+      });
+    };
+    c->After(kCloudTimeout, [answer, none] { answer(none); });
+    Cluster* cluster = c;
+    cluster->Carry(shell->name, "cloud", [cluster, shell, act, answer, none] {
+      const Answer a = cluster->cloud_out ? none : act();
+      cluster->After(kCloudDelay, [cluster, shell, answer, a] {
+        cluster->Carry("cloud", shell->name, [answer, a] { answer(a); });
+      });
+    });
   }
+  using TypeList = std::optional<std::vector<MachineType>>;
   void Types(std::function<void(bool, std::vector<MachineType>)> done) override {
-    Reply([c = c, done] { done(!c->cloud_out, c->cloud_.types); });
+    Ask<TypeList>(
+        [c = c]() -> TypeList { return c->cloud_.types; }, std::nullopt,
+        [done](const TypeList& t) { done(t.has_value(), t.value_or(std::vector<MachineType>())); });
   }
-  void Rent(const std::string&, const std::string&, const std::string&, bool, int,
-            std::function<void(RentAnswer)> done) override {
-    RentAnswer a;
-    a.refused = !c->cloud_out;  // the machines are those of the test
-    Reply([done, a] { done(a); });
+  void Rent(const std::string& request, const std::string&, const std::string& zone, bool spot,
+            int count, std::function<void(RentAnswer)> done) override {
+    Ask<RentAnswer>(
+        [c = c, request, zone, spot, count] { return c->RentNow(request, zone, spot, count); },
+        RentAnswer(), [done](const RentAnswer& a) { done(a); });
   }
   void Return(const std::vector<std::string>& names, std::function<void(bool)> done) override {
-    const bool ok = !c->cloud_out;
-    for (const std::string& name : names) {
-      if (!ok) break;
-      c->oracle->MachineGone(c->clock_.now, name);
-      if (auto it = c->workers.find(name); it != c->workers.end()) it->second.gone = true;
-    }
-    Reply([done, ok] { done(ok); });
+    Ask<bool>(
+        [c = c, names] {
+          for (const std::string& name : names) c->Delete(name);
+          return true;
+        },
+        false, [done](const bool& ok) { done(ok); });
   }
+  using Rows = std::optional<std::vector<ListedMachine>>;
   void List(const std::string&,
             std::function<void(bool, std::vector<ListedMachine>, bool)> done) override {
-    std::vector<ListedMachine> rows;
-    for (const auto& [name, w] : c->workers) {
-      if (w.gone) continue;
-      rows.push_back({name, w.report.endpoint, w.report.type, w.report.zone, w.report.spot,
-                      ListedState::kRunning, c->clock_.now});
-    }
-    Reply([done, rows, ok = !c->cloud_out] { done(ok, rows, false); });
+    Ask<Rows>(
+        [c = c]() -> Rows {
+          std::vector<ListedMachine> rows;
+          for (const auto& [name, w] : c->workers) {
+            if (w.gone) continue;
+            rows.push_back({name, w.report.endpoint, w.report.type, w.report.zone, w.report.spot,
+                            ListedState::kRunning, c->clock_.now});
+          }
+          return rows;
+        },
+        std::nullopt,
+        [done](const Rows& rows) {
+          done(rows.has_value(), rows.value_or(std::vector<ListedMachine>()), false);
+        });
   }
 };
 
+RentAnswer Cluster::RentNow(const std::string& request, const std::string& zone, bool spot,
+                            int count) {
+  RentAnswer a;
+  a.ok = true;
+  if (auto known = rented_.find(request); known != rented_.end()) {
+    a.machines = known->second;
+    return a;
+  }
+  if (rentable == 0) {
+    a.ok = false;
+    a.refused = true;
+    return a;
+  }
+  for (; count > 0 && rentable > 0; --count, --rentable) {
+    a.machines.push_back("m-" + std::to_string(next_machine_++));
+  }
+  rented_[request] = a.machines;
+  for (const std::string& name : a.machines) {
+    const double boot = cloud_.types[0].boot_s;
+    After(std::uniform_real_distribution<double>(0.1, 1.5)(random_) * boot,
+          [this, name, zone, spot] {
+            if (!deleted_.contains(name)) AddWorker(name, zone, spot);
+          });
+  }
+  return a;
+}
+
+void Cluster::Delete(const std::string& name) {
+  oracle->MachineGone(clock_.now, name);
+  deleted_.insert(name);
+  if (auto it = workers.find(name); it != workers.end()) it->second.gone = true;
+}
+
 struct Cluster::WorkerLink : WorkerPort {
   Cluster* c;
   std::weak_ptr<Shell> self;
@@ -270,12 +332,10 @@
   }
 };
 
-Cluster::Cluster(uint64_t seed, size_t nodes) : random_(seed) {
+Cluster::Cluster(uint64_t seed, size_t nodes, const Settings& times)
+    : settings(times), random_(seed) {
   settings.zones = {"east", "west", "north"};
   settings.teams = {{"blue", 16, 24, 0, 0}, {"red", 0, 0, 0, 0}};
-  settings.report_s = 3;
-  settings.lease_s = 20;
-  settings.cancel_s = 40;
   tuning.idle_spot_boots = tuning.idle_ordinary_boots = 1000;
   MachineType t;
   t.name = "box";
@@ -300,6 +360,11 @@
   auto shell = std::make_shared<Shell>();
   shell->index = i;
   shell->name = NodeName(i);
+  constexpr double kDrift = 0.0005;
+  const double bound = settings.time_bound_ms / 1000;
+  shell->clock.truth = &clock_;
+  shell->clock.rate = std::uniform_real_distribution<double>(1 - kDrift, 1 + kDrift)(random_);
+  shell->clock.wall_off = std::uniform_real_distribution<double>(-bound, bound)(random_);
   Settings s = settings;
   s.label = shell->name;
   s.site = kZones[i % 3];
@@ -316,7 +381,7 @@
   shell->links->self = shell->state->self = shell->cloud->self = shell->workers->self = shell;
   shell->controller = std::make_unique<Controller>(
       ControllerPorts{shell->state.get(), shell->cloud.get(), shell->workers.get(),
-                      shell->links.get(), &clock_},
+                      shell->links.get(), &shell->clock},
       s, tuning, next_instance_++);
   shells_[i] = shell;
   TickNode(shell);
@@ -346,6 +411,18 @@
   CutOneWay(b, a, for_s, mode);
 }
 
+void Cluster::CutZone(const std::string& zone, double for_s, CutMode mode) {
+  std::vector<std::string> inside;
+  std::vector<std::string> outside = {"state", "users", "cloud"};
+  for (const auto& [name, w] : workers) (w.report.zone == zone ? inside : outside).push_back(name);
+  for (size_t i = 0; i < shells_.size(); ++i) {
+    (kZones[i % 3] == zone ? inside : outside).push_back(NodeName(i));
+  }
+  for (const std::string& in : inside) {
+    for (const std::string& out : outside) Cut(in, out, for_s, mode);
+  }
+}
+
 void Cluster::StateOutage(double for_s) {
   state_out_until_ = clock_.now + for_s;
   oracle->TroubleUntil(state_out_until_);
@@ -434,7 +511,10 @@
 }
 
 SimWorker& Cluster::AddWorker(const std::string& zone, bool spot) {
-  const std::string name = "m-" + std::to_string(next_machine_++);
+  return AddWorker("m-" + std::to_string(next_machine_++), zone, spot);
+}
+
+SimWorker& Cluster::AddWorker(const std::string& name, const std::string& zone, bool spot) {
   SimWorker& w = workers[name];
   w.report.machine = name;
   w.report.endpoint = name + ":1";
@@ -442,6 +522,7 @@
   w.report.zone = zone;
   w.report.spot = spot;
   w.report.session = 1;
+  w.rate = std::uniform_real_distribution<double>(0.9995, 1.0005)(random_);
   w.node = workers.size() % shells_.size();
   w.lease_from = clock_.now;
   After(std::uniform_real_distribution<double>(0, settings.report_s)(random_),
@@ -462,13 +543,15 @@
   oracle->TroubleUntil(clock_.now + for_s);
 }
 
-void Cluster::ReplayReports(const std::string& machine) {
-  for (const Report& r : workers[machine].sent) {
-    for (const auto& shell : shells_) {
-      if (!shell) continue;
-      OnNode(shell, [shell, r] { shell->controller->CheckIn(r, [](const ReportReply&) {}); });
+void Cluster::ReplayReports(const std::string& machine, double after_s) {
+  After(after_s, [this, sent = workers[machine].sent] {
+    for (const Report& r : sent) {
+      for (const auto& shell : shells_) {
+        if (!shell) continue;
+        OnNode(shell, [shell, r] { shell->controller->CheckIn(r, [](const ReportReply&) {}); });
+      }
     }
-  }
+  });
 }
 
 void Cluster::EndTask(SimWorker* w, TaskReport* t, ExitWhy why) {
@@ -482,7 +565,7 @@
 }
 
 void Cluster::CheckLease(SimWorker* w) {
-  if (clock_.now - w->lease_from <= settings.lease_s) return;
+  if ((clock_.now - w->lease_from) * w->rate <= settings.lease_s) return;
   for (TaskReport& t : w->report.tasks) {
     if (t.state != TaskState::kExited) EndTask(w, &t, ExitWhy::kStopped);
   }
@@ -677,6 +760,16 @@
   });
 }
 
+void Cluster::AskOnce(UserOp op, const std::string& id) {
+  Ask(op, id, [](const UserReply&) {});
+}
+
+void Cluster::SubmitHopeless(const std::string& id) {
+  JobSpec spec = Array(id, 1, cloud_.types[0].cores + 1);
+  specs_[id] = spec;
+  Ask(UserOp::kSubmit, id, [](const UserReply&) {});
+}
+
 void Cluster::Poll(const std::string& id) {
   Ask(UserOp::kGet, id, [](const UserReply&) {});
   std::uniform_real_distribution<double> jitter(0.8, 1.2);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -28,15 +28,26 @@
   double deaf_until = -1;  // answers and direct commands are lost
   double mute_until = -1;  // its reports are lost
   bool gone = false;
+  double rate = 1;                        // of its steady clock
   std::map<std::string, double> ends_at;  // by task
   std::vector<Report> sent;               // for late copies
 };
 
+// A process's own clocks: the steady one drifts, the time of day is off, both within
+// what PROTOCOL and the settings allow.
+struct NodeClock : Clock {
+  const FakeClock* truth = nullptr;
+  double rate = 1;
+  double wall_off = 0;
+  double Now() const override { return truth->now * rate; }
+  double Wall() const override { return truth->Wall() + wall_off; }
+};
+
 enum class CutMode { kHold, kDrop, kRefuse };
 
 class Cluster {
  public:
-  explicit Cluster(uint64_t seed, size_t nodes = 3);
+  explicit Cluster(uint64_t seed, size_t nodes = 3, const Settings& times = Settings());
   ~Cluster();
 
   // The stage.
@@ -47,18 +58,24 @@
   // Between two parties, both ways: "n0", "state", "users", "workers" or a machine.
   void Cut(const std::string& a, const std::string& b, double for_s, CutMode mode);
   void CutOneWay(const std::string& from, const std::string& to, double for_s, CutMode mode);
+  // All in the zone, controllers too, from all outside it, the regional services included.
+  void CutZone(const std::string& zone, double for_s, CutMode mode);
   void StateOutage(double for_s);
   SimWorker& AddWorker(const std::string& zone, bool spot = false);
+  SimWorker& AddWorker(const std::string& name, const std::string& zone, bool spot);
   void Hang(const std::string& machine, double for_s);
   void Deaf(const std::string& machine, double for_s);
   void Mute(const std::string& machine, double for_s);
-  // The machine's last reports come again at once, at all nodes.
-  void ReplayReports(const std::string& machine);
+  // The machine's last reports come again a while later, at all nodes.
+  void ReplayReports(const std::string& machine, double after_s);
 
   // Users: they repeat submissions and cancellations until they are answered, and
   // ask about every job now and then.
   void Submit(const JobSpec& spec);
   void Cancel(const std::string& id);
+  // Asked once, whatever the answer: repeats, and what no user should ask.
+  void AskOnce(UserOp op, const std::string& id);
+  void SubmitHopeless(const std::string& id);
   JobSpec Array(const std::string& id, uint32_t tasks, double cores = 2) const;
   JobSpec Service(const std::string& id, uint32_t tasks, double cores = 2) const;
 
@@ -85,6 +102,7 @@
   double late_writes = 0;   // share of transactions that are carried out late, unanswered
   double slow_state_s = 0;  // added to each answer
   bool cloud_out = false;
+  int rentable = 0;  // so many more machines can be had
   std::map<std::string, SimWorker> workers;
   std::unique_ptr<Oracle> oracle;
 
@@ -113,6 +131,8 @@
   bool StateRefuses(const std::string& who) const;
   void ExpireLeases();
   void FireWatches();
+  RentAnswer RentNow(const std::string& request, const std::string& zone, bool spot, int count);
+  void Delete(const std::string& name);
   void WorkerTick(const std::string& name);
   void SendReport(const std::string& name);
   void Reported(const std::string& name, uint64_t number, double sent, double answered,
@@ -136,6 +156,8 @@
   std::vector<std::shared_ptr<Shell>> shells_;
   uint64_t next_instance_ = 1;
   int next_machine_ = 1;
+  std::map<std::string, std::vector<std::string>> rented_;  // by request
+  std::set<std::string> deleted_;
   std::map<std::pair<std::string, std::string>, CutNow> cuts_;
   double state_out_until_ = -1;
   std::map<uint64_t, double> lease_until_;
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -9,7 +9,10 @@
 
 // A small cluster at work: a service, arrays, a leader.
 std::unique_ptr<Cluster> AtWork(uint64_t seed, size_t nodes = 3) {
-  auto c = std::make_unique<Cluster>(seed, nodes);
+  Settings times;
+  times.lease_s = 20;
+  times.cancel_s = 40;
+  auto c = std::make_unique<Cluster>(seed, nodes, times);
   for (int i = 0; i < 6; ++i) c->AddWorker(i % 2 == 0 ? "east" : "west");
   EXPECT_TRUE(c->RunUntil([&] { return c->Leader() != SIZE_MAX; }, 20));
   c->Run(10);
@@ -61,10 +64,14 @@
 // watched by the oracle throughout.
 class Mix {
  public:
-  explicit Mix(uint64_t seed) : c_(seed, seed % 3 == 0 ? 5 : 3), nodes_(seed % 3 == 0 ? 5 : 3) {}
+  explicit Mix(uint64_t seed)
+      : c_(seed, seed % 3 == 0 ? 5 : 3, Times(seed)), nodes_(seed % 3 == 0 ? 5 : 3) {}
 
   std::string Play() {
-    for (int i = 0; i < 8; ++i) c_.AddWorker(kZones[i % 3], i % 4 == 3);
+    // Sometimes so many that a zone is told to be cut off.
+    const int machines = Chance(0.3) ? 24 : 8;
+    for (int i = 0; i < machines; ++i) c_.AddWorker(kZones[i % 3], i % 4 == 3);
+    if (Chance(0.5)) c_.rentable = 20;
     if (Chance(0.3)) c_.late_writes = 0.1;
     if (Chance(0.3)) c_.slow_state_s = 0.3;
     c_.Run(8);
@@ -73,6 +80,12 @@
       c_.Run(Between(0.05, 8));
       if (Chance(0.5)) NewJob();
       if (Chance(0.3) && !jobs_.empty()) c_.Cancel(Any(jobs_));
+      if (Chance(0.3) && !jobs_.empty()) {
+        const std::string id = Any(jobs_);
+        if (c_.Accepted(id)) c_.AskOnce(UserOp::kSubmit, id);
+      }
+      if (Chance(0.1)) c_.SubmitHopeless("job-9" + std::to_string(i));
+      if (Chance(0.1)) c_.AskOnce(UserOp::kGet, "job-8" + std::to_string(i));
       Trouble();
     }
     c_.late_writes = 0;
@@ -92,6 +105,17 @@
  private:
   static constexpr const char* kZones[] = {"east", "west", "north"};
 
+  // Deployments differ in what lies between a lease and a cancellation's time.
+  static Settings Times(uint64_t seed) {
+    Settings s;
+    const double leases[] = {20, 26.5, 30};
+    const double beyond[] = {20, 3, 25};
+    s.report_s = seed % 2 == 0 ? 3 : 6;
+    s.lease_s = leases[seed % 3];
+    s.cancel_s = s.lease_s + beyond[seed / 3 % 3];
+    s.time_bound_ms = seed % 4 < 2 ? 1000 : 100;
+    return s;
+  }
   bool Chance(double p) { return std::uniform_real_distribution<double>(0, 1)(c_.random()) < p; }
   double Between(double a, double b) {
     return std::uniform_real_distribution<double>(a, b)(c_.random());
@@ -103,7 +127,11 @@
     const size_t leader = c_.Leader();
     return "n" + std::to_string(leader != SIZE_MAX && Chance(0.6) ? leader : Index(nodes_));
   }
-  std::string Machine() { return "m-" + std::to_string(1 + Index(c_.workers.size())); }
+  std::string Machine() {
+    auto it = c_.workers.begin();
+    std::advance(it, Index(c_.workers.size()));
+    return it->first;
+  }
 
   void NewJob() {
     const std::string id = "job-" + std::to_string(jobs_.size() + 1);
@@ -132,7 +160,7 @@
     const double for_s = Chance(0.3) ? Between(c_.settings.lease_s, long_s) : Between(0.2, 15);
     const std::string node = Node();
     const size_t at = std::stoul(node.substr(1));
-    const size_t kind = Index(16);
+    const size_t kind = Index(20);
     spdlog::debug("TROUBLE {} kind {} node {} for {} s", c_.now(), kind, node, for_s);
     switch (kind) {
       case 0:
@@ -169,7 +197,7 @@
         c_.Mute(Machine(), for_s);
         break;
       case 10:
-        c_.ReplayReports(Machine());
+        c_.ReplayReports(Machine(), Chance(0.5) ? 0.01 : Between(1, 30));
         break;
       case 11:
         c_.Cut(node, Machine(), for_s, Mode());
@@ -189,6 +217,24 @@
         c_.Run(Between(0.1, 1));
         c_.StateOutage(long_s);
         break;
+      case 15:
+        // Hands over and back, several times within seconds.
+        for (int i = 0; i < 6; ++i) {
+          const size_t leader = c_.Leader();
+          if (leader != SIZE_MAX) c_.Crash(leader);
+          c_.Run(Between(0.05, 4));
+          for (size_t n = 0; n < nodes_; ++n) c_.Boot(n);
+        }
+        break;
+      case 17:
+      case 18:
+        c_.CutZone(kZones[Index(3)], for_s, Chance(0.7) ? CutMode::kHold : CutMode::kDrop);
+        break;
+      case 16:
+        for (const auto& [name, w] : c_.workers) {
+          if (Chance(0.4)) c_.Mute(name, for_s);
+        }
+        break;
       default:
         c_.CutOneWay(node, Machine(), for_s, Mode());
         break;
