Answers that renew a lease carry the stops for what is over, also to machines not accounted for

Cause: a new leader answered a machine's first report with 200 and no commands, since it had not shown the term's token yet; the leader ended within that half second, the state service was out, and a cancelled task lived on till the renewed lease ended, beyond cancel_s. Excluded: the hold of former leaders. Now the stops for tasks of jobs that are over go with that answer, and with those to overtaken reports.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -430,6 +430,19 @@
   return book_->TaskDurable(s.job, s.task);
 }
 
+std::vector<Command> Fleet::StopsOfEnded(const Report& report) const {
+  std::vector<Command> out;
+  for (const TaskReport& t : report.tasks) {
+    std::string id;
+    uint32_t task = 0;
+    if (t.state == TaskState::kExited || !SplitTask(t.task, &id, &task)) continue;
+    const JobIdx j = book_->Find(id);
+    if (j == kNone || (*book_)[j].life == JobLife::kLive) continue;
+    out.push_back({CommandOp::kStop, t.task, t.attempt, 0});
+  }
+  return out;
+}
+
 bool Fleet::HasCommands(MachIdx mi, bool launch) const {
   const Machine& m = machines_[mi];
   if (m.seen_token < m.token) return true;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -72,6 +72,8 @@
   std::vector<Command> Commands(MachIdx m, bool launch);
   // The stops alone, told before or not: an earlier one may be lost on its way.
   std::vector<Command> Stops(MachIdx m);
+  // Stops for what the report lists of jobs that are over, whoever started it.
+  std::vector<Command> StopsOfEnded(const Report& report) const;
   // True when there is something to tell it.
   bool HasCommands(MachIdx m, bool launch) const;
   // An answer to a command is missing: what was sent may still come.
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -97,15 +97,25 @@
     // Overtaken by an answer to a command, or a late copy: it renews nothing here,
     // and gets no commands.
     if (m.suspect) Odd(r.machine, "sent an old report");
+    // To the worker it may be an answer that renews its lease all the same.
+    reply.commands = fleet_.StopsOfEnded(r);
     return reply;
   }
   if (m.endpoint != r.endpoint) {
     m.endpoint = r.endpoint;
     if (m.row != kNoRow || m.listed) rentals_.SaveMachine(mi, true);
   }
+  if (!m.accounted) {
+    // Nothing is adopted before it has shown this term's token. But this answer renews
+    // its lease, perhaps the last one before this leader ends: what was cancelled must
+    // not live on by it.
+    reply.commands = fleet_.StopsOfEnded(r);
+    m.answered_at = now;
+    return reply;
+  }
   // Nobody named it before: kept once it has shown that it hears us. A late copy's
   // ghost never does.
-  if (m.row == kNoRow && m.accounted && Fleet::Hears(m)) rentals_.SaveMachine(mi, true);
+  if (m.row == kNoRow && Fleet::Hears(m)) rentals_.SaveMachine(mi, true);
   if (m.do_busy || m.returning) {
     // What was sent straight may be lost on its way, again and again while the way is
     // blocked, and the cloud may be out: stops go with every report, or a cancelled
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -329,6 +329,26 @@
   EXPECT_EQ(held.Has("job-3/0") + held.Has("job-3/1") + held.Has("job-3/2"), 3);
 }
 
+// Found by drawn meetings: a new leader renewed a machine's lease for the first time and
+// ended before the machine could tell it of a cancelled task, which lived on till its lease
+// was over, beyond the cancellation's time.
+TEST(Takeover, TheFirstAnswerToAMachineStopsWhatIsCancelled) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 1));
+  w.Submit(w.Array("job-2", 1));
+  w.Pass(1);
+  ASSERT_TRUE(a.Has("job-1/0") && a.Has("job-2/0"));
+  a.unsent = true;  // reached by answers to its reports only
+  w.Lead();
+  EXPECT_EQ(w.Ask(UserOp::kCancel, "job-1").state, JobState::kCancelled);
+  w.ReportNow(&a);
+  EXPECT_FALSE(a.Has("job-1/0"));
+  EXPECT_TRUE(a.Has("job-2/0"));
+}
+
 TEST(Takeover, AFormerLeadersLateCommandIsShutOut) {
   World w;
   w.Lead();
