--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -385,11 +385,13 @@
                       shell->links.get(), &shell->clock},
       s, tuning, next_instance_++);
   shells_[i] = shell;
+  oracle->TroubleUntil(clock_.now);
   TickNode(shell);
 }
 
 void Cluster::Crash(size_t i) {
   if (!shells_[i]) return;
+  oracle->TroubleUntil(clock_.now);
   shells_[i]->dead = true;
   shells_[i]->controller.reset();
   shells_[i] = nullptr;
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -151,6 +151,39 @@
   EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
 }
 
+TEST(Leader, PastItsLeaseAReportGetsNoLaunchThatWasStillToBeSent) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  a.unsent = true;
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(0.5, false);
+  w.lease.until = w.clock.now;
+  w.ReportNow(&a);
+  EXPECT_FALSE(a.Has("job-1/0"));
+  w.lease.until = 1e12;
+  w.ReportNow(&a);
+  w.Pass(2);
+  EXPECT_TRUE(a.Has("job-1/0"));
+}
+
+TEST(Leader, AnEndIsToldOnlyWhenItIsDurable) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  w.Submit(w.Array("job-1", 1));
+  w.Pass(1);
+  w.state.refuse = true;
+  a.End("job-1/0", ExitWhy::kDone);
+  w.Pass(2);
+  EXPECT_NE(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+  w.state.refuse = false;
+  w.Pass(1);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+}
+
 TEST(Leader, AnOutageThatReachesEverybodyDoesNotEndTheHold) {
   World w;
   w.quiet_since = 0;
@@ -239,6 +272,27 @@
 // Found by a hunt on a grown deployment (ran_twice 0.7 s after a change of term): an
 // attempt stopped earlier and not cleared yet made the new leader take the task for
 // free, while its next attempt ran on a machine that had not answered yet.
+TEST(Takeover, ATaskOnASilentMachineHoldsItsJobsZone) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  JobSpec s = w.Array("job-1", 6);  // four of them fit
+  s.one_zone = true;
+  w.Submit(s);
+  w.Pass(1);
+  ASSERT_EQ(a.started.size(), 4U);
+  auto& b = w.Machine("m-2", "west");
+  a.silent = true;
+  w.cloud.out = true;
+  w.Lead();
+  w.Pass(5);
+  EXPECT_TRUE(b.started.empty());
+  w.cloud.out = false;
+  w.Pass(10);
+  EXPECT_EQ(b.started.size(), 4U);
+}
+
 TEST(Takeover, AnAttemptThatEndedDoesNotFreeATaskThatMayRunElsewhere) {
   World w;
   w.tuning.takeover_wait_s = 1000;
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -123,6 +123,11 @@
     c->Cancel("job-2");
     c->Run(gap.outage_after_s);
     c->StateOutage(outage);
+    if (!gap.without_peers && c->Leader() != SIZE_MAX) {
+      // Its peers tell the old leader, without the state service.
+      c->Run(1);
+      EXPECT_FALSE(c->node(a)->election().holding());
+    }
     c->Run(outage + 120);
     EXPECT_EQ(c->Broken(), "") << "seed " << seed;
     EXPECT_EQ(c->On("job-1") + c->On("job-2"), 0U);
