--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -104,6 +104,7 @@
                  {cloud, "list_lag_s", &s->cloud_lag_s},
                  {quota, "max_sockets", &sockets},
                  {quota, "cores", &s->cores},
+                 {quota, "mem_mb", &s->mem_mb},
                  {cluster, "time_bound_ms", &s->time_bound_ms}};
   for (const auto& n : numbers) {
     bad = ReadPositive(n.in, n.name, n.to);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -31,7 +31,8 @@
   double cloud_rps = 4;
   double cloud_lag_s = 8;
   int max_sockets = 1000;
-  double cores = 1;  // of the processor, for this process
+  double cores = 1;     // of the processor, for this process
+  double mem_mb = 128;  // for this process
   double time_bound_ms = 1000;
 };
 
@@ -44,6 +45,21 @@
 // Should all others be down, one controller is to hold every worker.
 inline int MostMachines(const Settings& s) { return ServedConnections(s); }
 
+// Unfinished jobs and their tasks may take a quarter of the memory each; so much is one
+// of them with its row, and so much a task, waiting or placed.
+constexpr double kBytesPerJob = 2048;
+constexpr double kBytesPerTask = 64;
+inline size_t MostLiveJobs(const Settings& s) {
+  return static_cast<size_t>(s.mem_mb * 1e6 / 4 / kBytesPerJob);
+}
+inline size_t MostLiveTasks(const Settings& s) {
+  return static_cast<size_t>(s.mem_mb * 1e6 / 4 / kBytesPerTask);
+}
+// Users who wait for an answer each hold a connection to some controller.
+inline size_t MostWaiters(const Settings& s) {
+  return static_cast<size_t>(ServedConnections(s)) * (s.siblings.size() + 1);
+}
+
 // Returns the reason why the text is no settings file, or an empty string.
 std::string ReadSettings(const std::string& text, Settings* out);
 
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -17,9 +17,8 @@
 constexpr double kPassGapMost = 0.2;
 constexpr int kLoadTries = 4;
 constexpr double kSweep = 0.25;
-constexpr size_t kMaxWaiters = 5000;
-constexpr size_t kMaxLiveTasks = 400000;
-constexpr size_t kMaxLiveJobs = 20000;
+constexpr int kFullRetry = 10;
+constexpr double kFullLogEvery = 60;
 
 StoreLimits LimitsOf(const Settings& s) {
   StoreLimits l;
@@ -236,6 +235,24 @@
   return "fits no allowed machine type";
 }
 
+const char* Leader::Full(const JobSpec& spec) {
+  const char* why = nullptr;
+  if (book_.live().size() >= MostLiveJobs(*settings_)) {
+    why = "as many jobs are unfinished as the memory allows";
+  } else if (book_.live_tasks() + spec.tasks > MostLiveTasks(*settings_)) {
+    why = "as many tasks are unfinished as the memory allows";
+  } else if (waiters_.size() >= MostWaiters(*settings_)) {
+    why = "as many users wait for an answer as there are connections";
+  }
+  const double now = ports_.clock->Now();
+  if (why != nullptr && now >= full_logged_at_ + kFullLogEvery) {
+    full_logged_at_ = now;
+    spdlog::warn("no new job is taken: {} ({} jobs, {} tasks)", why, book_.live().size(),
+                 book_.live_tasks());
+  }
+  return why;
+}
+
 void Leader::Submit(const UserAsk& ask, UserDone done) {
   JobIdx j = book_.Find(ask.id);
   if (j != kNone && book_[j].told) {
@@ -260,11 +277,9 @@
       done(r);
       return;
     }
-    if (book_.live().size() >= kMaxLiveJobs || book_.live_tasks() + ask.job.tasks > kMaxLiveTasks ||
-        waiters_.size() >= kMaxWaiters) {
-      r.status = 429;
-      r.error = "too much is waiting";
-      r.retry_after_s = 10;
+    if (const char* full = Full(ask.job)) {
+      r = Unavailable(full);
+      r.retry_after_s = kFullRetry;
       done(r);
       return;
     }
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -83,6 +83,8 @@
   UserReply State(JobIdx j, int status) const;
   UserReply Unknown() const;
   std::string NeverRuns(const JobSpec& spec) const;
+  // The limit that stands against one more such job; null: none does.
+  const char* Full(const JobSpec& spec);
   void Committed();
   void ReleaseUnseen();
   void TaskEnded(MachIdx m, const Slot& slot);
@@ -158,6 +160,7 @@
   uint64_t looked_at_ = 0;
   uint64_t odd_ = 0;
   double odd_logged_at_ = -1e9;
+  double full_logged_at_ = -1e9;
   std::vector<Waiter> waiters_;
 };
 
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -351,6 +351,24 @@
   }
 }
 
+TEST(Leader, WhatTheMemoryDoesNotAllowIsPutOffAndWhatIsAcceptedStays) {
+  World w;
+  w.settings.mem_mb = 0.1;  // some ten jobs, some four hundred tasks
+  w.Lead();
+  EXPECT_EQ(w.Submit(w.Array("job-1", 300)).status, 201);
+  const UserReply tasks = w.Submit(w.Array("job-2", 200));
+  EXPECT_EQ(tasks.status, 503);
+  EXPECT_GT(tasks.retry_after_s, 0);
+  int accepted = 0;
+  for (int i = 10; i < 40; ++i) {
+    accepted += w.Submit(w.Array("job-" + std::to_string(i), 1)).status == 201 ? 1 : 0;
+  }
+  EXPECT_GT(accepted, 5);
+  EXPECT_LT(accepted, 20);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").status, 200);
+  EXPECT_EQ(w.Submit(w.Array("job-1", 300)).status, 200);  // known: no new one
+}
+
 TEST(Leader, AJobThatNoRowCanHoldIsRefused) {
   World w;
   w.Lead();
