--- a/src/mesh/mesh_links.cc
+++ b/src/mesh/mesh_links.cc
@@ -23,6 +23,7 @@
       clock_(clock),
       reaper_(loop, [this] { dropped_.clear(); }),
       ticker_(loop, [this] { Tick(); }),
+      flusher_(loop, [this] { Flush(); }),
       listener_(loop, listen, [this](std::unique_ptr<TcpConn> c) { Accept(std::move(c)); }) {
   for (const Peer& p : peers) {
     links_.push_back(std::make_unique<Link>());
@@ -42,11 +43,22 @@
 }
 
 void MeshLinks::Send(size_t peer, const MeshFrame& frame) {
-  const auto& tcp = links_[peer]->tcp;
-  if (!tcp || tcp->unsent() > kMaxUnsent) return;
-  std::string out;
-  EncodeFrame(frame, &out);
-  tcp->Send(out);
+  Link& link = *links_[peer];
+  if (!link.tcp || link.tcp->unsent() + link.out.size() > kMaxUnsent) return;
+  EncodeFrame(frame, &link.out);
+}
+
+void MeshLinks::Flush() {
+  for (auto& link : links_) {
+    if (link->out.empty()) continue;
+    if (link->tcp) link->tcp->Send(link->out);
+    link->out.clear();
+  }
+  for (auto& [id, inbound] : inbound_) {
+    if (inbound.out.empty()) continue;
+    inbound.tcp->Send(inbound.out);
+    inbound.out.clear();
+  }
 }
 
 void MeshLinks::Tick() {
@@ -60,6 +72,7 @@
 void MeshLinks::Dial(Link* link) {
   link->tried = link->connected_at = clock_->Now();
   link->in.clear();
+  link->out.clear();
   link->tcp = TcpConn::Connect(loop_, link->peer.at);
   if (!link->tcp) return;
   link->tcp->SetCallbacks(
@@ -116,12 +129,12 @@
   reaper_.Start(0);
 }
 
-void MeshLinks::Answer(uint64_t inbound, const MeshFrame& frame) {
-  auto it = inbound_.find(inbound);
-  if (it == inbound_.end() || it->second.tcp->unsent() > kMaxUnsent) return;
-  std::string out;
-  EncodeFrame(frame, &out);
-  it->second.tcp->Send(out);
+void MeshLinks::Answer(uint64_t id, const MeshFrame& frame) {
+  auto it = inbound_.find(id);
+  if (it == inbound_.end()) return;
+  Inbound& inbound = it->second;
+  if (inbound.tcp->unsent() + inbound.out.size() > kMaxUnsent) return;
+  EncodeFrame(frame, &inbound.out);
 }
 
 bool MeshLinks::Split(std::string* in, std::string_view bytes,
--- a/src/mesh/mesh_links.h
+++ b/src/mesh/mesh_links.h
@@ -26,6 +26,7 @@
     Peer peer;
     std::unique_ptr<TcpConn> tcp;
     std::string in;
+    std::string out;  // frames of this turn of the loop
     double heard = -1e9;
     double tried = -1e9;
     double connected_at = 0;
@@ -34,14 +35,17 @@
   struct Inbound {
     std::unique_ptr<TcpConn> tcp;
     std::string in;
+    std::string out;
   };
 
   void Tick();
+  // Many frames of one turn go out together: relayed questions come by the hundred.
+  void Flush();
   void Dial(Link* link);
   void Hangup(Link* link);
   void Accept(std::unique_ptr<TcpConn> tcp);
   void Drop(uint64_t inbound);
-  void Answer(uint64_t inbound, const MeshFrame& frame);
+  void Answer(uint64_t id, const MeshFrame& frame);
   // False when the stream is broken.
   static bool Split(std::string* in, std::string_view bytes,
                     const std::function<void(MeshFrame)>& each);
@@ -55,6 +59,7 @@
   std::vector<std::unique_ptr<TcpConn>> dropped_;
   Timer reaper_;
   Timer ticker_;
+  BeforeWait flusher_;
   TcpListener listener_;
 };
 
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -50,6 +50,18 @@
   static_cast<Timer*>(w->data)->fn_();
 }
 
+BeforeWait::BeforeWait(Loop* loop, std::function<void()> fn) : loop_(loop), fn_(std::move(fn)) {
+  ev_prepare_init(&watcher_, &BeforeWait::Fired);
+  watcher_.data = this;
+  ev_prepare_start(loop_->ev(), &watcher_);
+}
+
+BeforeWait::~BeforeWait() { ev_prepare_stop(loop_->ev(), &watcher_); }
+
+void BeforeWait::Fired(struct ev_loop*, ev_prepare* w, int) {
+  static_cast<BeforeWait*>(w->data)->fn_();
+}
+
 IoWatch::IoWatch(Loop* loop, int fd, std::function<void(bool, bool)> fn)
     : loop_(loop), fd_(fd), fn_(std::move(fn)) {
   ev_init(&watcher_, &IoWatch::Fired);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -51,6 +51,22 @@
   std::function<void()> fn_;
 };
 
+// Called each time before the loop waits: what was gathered in this turn goes out.
+class BeforeWait {
+ public:
+  BeforeWait(Loop* loop, std::function<void()> fn);
+  ~BeforeWait();
+  BeforeWait(const BeforeWait&) = delete;
+  BeforeWait& operator=(const BeforeWait&) = delete;
+
+ private:
+  static void Fired(struct ev_loop* loop, ev_prepare* w, int events);
+
+  Loop* loop_;
+  ev_prepare watcher_{};
+  std::function<void()> fn_;
+};
+
 // Watches one descriptor for reading and writing.
 class IoWatch {
  public:
