--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -1,5 +1,7 @@
 #include "app/controller.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace deckhall {
@@ -8,6 +10,10 @@
 constexpr double kRelayTimeout = 1.5;
 constexpr double kSubmitRelayTimeout = 3.0;
 constexpr double kReportRelayTimeout = 2.0;
+// Questions about jobs for each message to a worker that the processor allows for. Set by
+// trial, see docs/results.md: what the processor can take is not refused.
+constexpr double kQuestionsPerMessage = 1.5;
+constexpr double kQuestionsLogEvery = 60;
 constexpr double kRetiredFor = 15;  // longer than any request of a leader lasts
 // A leader that can't reach most workers for so long lets another one lead, and
 // runs again only after a while.
@@ -31,8 +37,22 @@
   return r;
 }
 
+// A user who is told to come back asks again some seconds later anyway.
+UserReply TooManyQuestions() {
+  UserReply r;
+  r.status = 503;
+  r.error = "too many questions at once";
+  r.retry_after_s = 2;
+  return r;
+}
+
 }  // namespace
 
+double QuestionsPerSecond(const Settings& settings, const Tuning& tuning) {
+  return MessagesPerSecond(settings, tuning) * kQuestionsPerMessage /
+         static_cast<double>(settings.siblings.size() + 1);
+}
+
 Controller::Controller(const ControllerPorts& ports, Settings settings, Tuning tuning,
                        uint64_t instance)
     : ports_(ports),
@@ -40,8 +60,10 @@
       tuning_(tuning),
       election_(ports.state, ports.clock, ElectionOf(settings_, tuning_, instance)),
       mesh_(ports.links, ports.clock, settings_.label, instance, settings_.siblings,
+            MostRelayed(settings_),
             [this](Mesh::Body body, const Mesh::Reply& reply) { Served(std::move(body), reply); }),
-      health_(settings_.label) {
+      health_(settings_.label),
+      questions_(QuestionsPerSecond(settings_, tuning_), QuestionsPerSecond(settings_, tuning_)) {
   election_.on_won = [this](uint64_t term) { Won(term); };
   election_.on_lost = [this] { Lost(); };
   election_.on_known = [this](uint64_t bound) { mesh_.NoteTerm(bound); };
@@ -96,6 +118,15 @@
 }
 
 void Controller::User(UserAsk ask, UserDone done) {
+  const double now = ports_.clock->Now();
+  if (ask.op == UserOp::kGet && !questions_.Take(now, 1)) {
+    if (now >= questions_logged_at_ + kQuestionsLogEvery) {
+      questions_logged_at_ = now;
+      spdlog::warn("more questions than are taken: the rest gets 503");
+    }
+    done(TooManyQuestions());
+    return;
+  }
   if (leader_ && leader_->loaded()) {
     leader_->User(ask, std::move(done));
     on_work();
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -14,6 +14,7 @@
 #include "leader/election.h"
 #include "leader/leader.h"
 #include "mesh/mesh.h"
+#include "net/token_bucket.h"
 
 namespace deckhall {
 
@@ -25,6 +26,10 @@
   const Clock* clock = nullptr;
 };
 
+// Questions about jobs that one node takes in a second: what comes through all of them
+// ends at the leader, and must leave it room for reports, submissions and itself.
+double QuestionsPerSecond(const Settings& settings, const Tuning& tuning);
+
 class Controller : public LeaseView {
  public:
   using UserDone = std::function<void(const UserReply&)>;
@@ -67,6 +72,8 @@
   std::vector<Retired> retired_;
   Mesh mesh_;
   Health health_;
+  TokenBucket questions_;  // of users about jobs, through this node
+  double questions_logged_at_ = -1e9;
 };
 
 }  // namespace deckhall
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -60,6 +60,11 @@
   return static_cast<size_t>(ServedConnections(s)) * (s.siblings.size() + 1);
 }
 
+// Each asker holds a connection here; as many come from a node that can't reach the leader.
+inline size_t MostRelayed(const Settings& s) {
+  return static_cast<size_t>(ServedConnections(s)) * 2;
+}
+
 // Returns the reason why the text is no settings file, or an empty string.
 std::string ReadSettings(const std::string& text, Settings* out);
 
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -10,18 +10,18 @@
 constexpr double kDoubt = 10;
 constexpr double kRefusal = 1.5;
 constexpr double kPassedOnFor = 2;
-constexpr size_t kMaxPending = 2000;
 constexpr uint8_t kMaxHops = 1;
 constexpr size_t kNoLink = SIZE_MAX;
 
 }  // namespace
 
 Mesh::Mesh(MeshTransport* transport, const Clock* clock, std::string label, uint64_t instance,
-           std::vector<Peer> peers, Server server)
+           std::vector<Peer> peers, size_t max_pending, Server server)
     : transport_(transport),
       clock_(clock),
       label_(std::move(label)),
       instance_(instance),
+      max_pending_(max_pending),
       server_(std::move(server)),
       quiet_(peers.size()) {
   for (Peer& p : peers) {
@@ -194,7 +194,8 @@
   }
   // Passed on once at most, and only along a straight link.
   const size_t at = Find(frame.target);
-  if (frame.hops >= kMaxHops || at == kNoLink || !Hears(links_[at])) {
+  if (frame.hops >= kMaxHops || pending_.size() >= max_pending_ || at == kNoLink ||
+      !Hears(links_[at])) {
     answer(std::monostate());
     return;
   }
@@ -207,7 +208,7 @@
 
 void Mesh::Ask(const std::string& label, Body body, double timeout_s, Reply done) {
   const uint64_t id = next_id_++;
-  const size_t at = pending_.size() < kMaxPending ? Route(label) : kNoLink;
+  const size_t at = pending_.size() < max_pending_ ? Route(label) : kNoLink;
   pending_[id] = {std::move(done), clock_->Now() + (at == kNoLink ? 0 : timeout_s)};
   if (at == kNoLink) return;
   MeshFrame frame;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -38,7 +38,7 @@
   using Server = std::function<void(Body, Reply)>;
 
   Mesh(MeshTransport* transport, const Clock* clock, std::string label, uint64_t instance,
-       std::vector<Peer> peers, Server server);
+       std::vector<Peer> peers, size_t max_pending, Server server);
 
   void Tick();
   // A frame came over the link to the peer, in answer to one of ours.
@@ -103,6 +103,7 @@
   const Clock* clock_;
   std::string label_;
   uint64_t instance_;
+  size_t max_pending_;
   Server server_;
   bool leading_ = false;
   bool holding_ = false;
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -424,6 +424,35 @@
   }
 }
 
+// Not a meeting of the list, but what crowds out all others: a storm of questions.
+TEST(Storm, OfQuestionsLeavesRoomForSubmissionsAndReports) {
+  auto c = AtWork(1);
+  for (size_t node = 0; node < 3; ++node) {
+    const double rate = QuestionsPerSecond(c->settings, c->tuning);
+    size_t answered = 0;
+    size_t refused = 0;
+    UserAsk ask;
+    ask.op = UserOp::kGet;
+    ask.id = "job-1";
+    for (double i = 0; i < rate * 3; ++i) {
+      c->node(node)->User(ask, [&](const UserReply& r) {
+        EXPECT_TRUE(r.status == 200 || r.retry_after_s > 0);
+        ++(r.status == 200 ? answered : refused);
+      });
+    }
+    // Refused at once, not when the storm is over.
+    EXPECT_GT(static_cast<double>(refused), rate);
+    c->Run(2);
+    EXPECT_GT(answered, 0U);
+    EXPECT_GE(static_cast<double>(answered + refused), rate * 3);
+    c->Submit(c->Array("job-3" + std::to_string(node), 1));
+    EXPECT_TRUE(c->RunUntil([&] { return c->Accepted("job-3" + std::to_string(node)); }, 2));
+  }
+  c->Run(c->settings.lease_s + 5);
+  EXPECT_EQ(c->On("job-1"), 3U);
+  EXPECT_EQ(c->Broken(), "");
+}
+
 TEST(Meeting, ALeaderEndsWhileMachinesWithLongTasksCanNotBeReachedOrDoNotHear) {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     auto c = AtWork(seed);
