--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -29,22 +29,15 @@
   return o;
 }
 
-UserReply NoLeader() {
+UserReply Unavailable(const char* why, int retry_after_s) {
   UserReply r;
   r.status = 503;
-  r.error = "no leader can be reached";
-  r.retry_after_s = 1;
+  r.error = why;
+  r.retry_after_s = retry_after_s;
   return r;
 }
 
-// A user who is told to come back asks again some seconds later anyway.
-UserReply TooManyQuestions() {
-  UserReply r;
-  r.status = 503;
-  r.error = "too many questions at once";
-  r.retry_after_s = 2;
-  return r;
-}
+UserReply NoLeader() { return Unavailable("no leader can be reached", 1); }
 
 }  // namespace
 
@@ -124,7 +117,8 @@
       questions_logged_at_ = now;
       spdlog::warn("more questions than are taken: the rest gets 503");
     }
-    done(TooManyQuestions());
+    // A user who is told to come back asks again some seconds later anyway.
+    done(Unavailable("too many questions at once", 2));
     return;
   }
   if (leader_ && leader_->loaded()) {
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -337,16 +337,7 @@
   settings.zones = {"east", "west", "north"};
   settings.teams = {{"blue", 16, 24, 0, 0}, {"red", 0, 0, 0, 0}};
   tuning.idle_spot_boots = tuning.idle_ordinary_boots = 1000;
-  MachineType t;
-  t.name = "box";
-  t.cores = 8;
-  t.memory_gb = 64;
-  t.price = 1;
-  t.spot_price = 0.4;
-  t.boot_s = 30;
-  t.fetch_gb_per_s = 1;
-  t.zones = settings.zones;
-  cloud_.types = {t};
+  cloud_.types = {BoxType(settings.zones)};
   oracle = std::make_unique<Oracle>(settings.teams, settings.cancel_s);
   shells_.resize(nodes);
   store_.value_limit = static_cast<size_t>(settings.state_value_kb * 1024);
@@ -783,29 +774,6 @@
   After(kPollEvery * jitter(random_), [this, id] { Poll(id); });
 }
 
-JobSpec Cluster::Array(const std::string& id, uint32_t tasks, double cores) const {
-  JobSpec s;
-  s.id = id;
-  s.klass = "sums";
-  s.team = "blue";
-  s.tasks = tasks;
-  s.cores = cores;
-  s.memory_gb = 4;
-  s.image = "img";
-  s.image_gb = 1;
-  s.estimate_s = 30;
-  return s;
-}
-
-JobSpec Cluster::Service(const std::string& id, uint32_t tasks, double cores) const {
-  JobSpec s = Array(id, tasks, cores);
-  s.klass = "live";
-  s.service = true;
-  s.priority = Priority::kProduction;
-  s.estimate_s = 0;
-  return s;
-}
-
 void Cluster::Watch() {
   std::vector<Oracle::Place> open;
   for (const auto& [name, w] : workers) {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -78,8 +78,12 @@
   // Asked once, whatever the answer: repeats, and what no user should ask.
   void AskOnce(UserOp op, const std::string& id);
   void SubmitHopeless(const std::string& id);
-  JobSpec Array(const std::string& id, uint32_t tasks, double cores = 2) const;
-  JobSpec Service(const std::string& id, uint32_t tasks, double cores = 2) const;
+  JobSpec Array(const std::string& id, uint32_t tasks, double cores = 2) const {
+    return ArraySpec(id, tasks, cores);
+  }
+  JobSpec Service(const std::string& id, uint32_t tasks, double cores = 2) const {
+    return ServiceSpec(id, tasks, cores);
+  }
 
   void Run(double seconds);
   // Until the condition holds; false when it did not in time.
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -306,6 +306,43 @@
   double TrustedUntil() const override { return until; }
 };
 
+inline JobSpec ArraySpec(const std::string& id, uint32_t tasks, double cores) {
+  JobSpec s;
+  s.id = id;
+  s.klass = "sums";
+  s.team = "blue";
+  s.tasks = tasks;
+  s.cores = cores;
+  s.memory_gb = 4;
+  s.image = "img";
+  s.image_gb = 1;
+  s.estimate_s = 30;
+  return s;
+}
+
+inline JobSpec ServiceSpec(const std::string& id, uint32_t tasks, double cores) {
+  JobSpec s = ArraySpec(id, tasks, cores);
+  s.klass = "live";
+  s.service = true;
+  s.priority = Priority::kProduction;
+  s.estimate_s = 0;
+  return s;
+}
+
+// The only type of machine.
+inline MachineType BoxType(const std::vector<std::string>& zones) {
+  MachineType t;
+  t.name = "box";
+  t.cores = 8;
+  t.memory_gb = 64;
+  t.price = 1;
+  t.spot_price = 0.4;
+  t.boot_s = 30;
+  t.fetch_gb_per_s = 1;
+  t.zones = zones;
+  return t;
+}
+
 // Everything around one leader; a second one can take over the same store.
 struct World {
   FakeClock clock;
@@ -331,16 +368,7 @@
     settings.cancel_s = 40;
     // Idle machines stay, unless a test is about that.
     tuning.idle_spot_boots = tuning.idle_ordinary_boots = 1000;
-    MachineType t;
-    t.name = "box";
-    t.cores = 8;
-    t.memory_gb = 64;
-    t.price = 1;
-    t.spot_price = 0.4;
-    t.boot_s = 30;
-    t.fetch_gb_per_s = 1;
-    t.zones = {"east", "west"};
-    cloud.types = {t};
+    cloud.types = {BoxType(settings.zones)};
   }
   void Lead() {
     if (leader) {
@@ -400,25 +428,10 @@
     return w;
   }
   JobSpec Array(const std::string& id, uint32_t tasks, double cores = 2) {
-    JobSpec s;
-    s.id = id;
-    s.klass = "sums";
-    s.team = "blue";
-    s.tasks = tasks;
-    s.cores = cores;
-    s.memory_gb = 4;
-    s.image = "img";
-    s.image_gb = 1;
-    s.estimate_s = 30;
-    return s;
+    return ArraySpec(id, tasks, cores);
   }
   JobSpec Service(const std::string& id, uint32_t tasks, double cores = 2) {
-    JobSpec s = Array(id, tasks, cores);
-    s.klass = "live";
-    s.service = true;
-    s.priority = Priority::kProduction;
-    s.estimate_s = 0;
-    return s;
+    return ServiceSpec(id, tasks, cores);
   }
   UserReply Ask(UserOp op, const std::string& id, const JobSpec* spec = nullptr,
                 const std::string& invalid = "") {
