What went first for being passed over is one task, and is not stopped for a guarantee

Cause: with more work than room everything is passed over in the end. Such jobs went first with all their tasks, were stopped seconds later for guaranteed jobs when the ranks were refreshed, and the place went to the next one passed over. Now one task goes first, it runs to its end, services aside. And a new leader that hears most machines not at all gives them the time of a blocked way instead of 4 s (21 of 24 returned before). Excluded: the failing machines' quarantine (none).

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -391,13 +391,14 @@
   RecountRunning(slot, false);
 }
 
-void Fleet::Place(MachIdx mi, JobIdx j, uint32_t task, uint64_t attempt) {
+void Fleet::Place(MachIdx mi, JobIdx j, uint32_t task, uint64_t attempt, bool passed) {
   Machine& m = machines_[mi];
   const Job& job = (*book_)[j];
   Slot slot;
   slot.job = j;
   slot.task = task;
   slot.attempt = attempt;
+  slot.passed = passed;
   slot.name = job.id + "/" + std::to_string(task);
   slot.launched_at = clock_->Now();
   book_->Place(j, task, mi, slot.attempt);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -62,7 +62,7 @@
   // Has shown a token of this term: a former leader's answers don't reach it any more.
   bool Ours(const Machine& m) const { return TermOf(m.seen_token) == term_; }
   // Puts a task there; the launch goes out with the next commands.
-  void Place(MachIdx m, JobIdx job, uint32_t task, uint64_t attempt);
+  void Place(MachIdx m, JobIdx job, uint32_t task, uint64_t attempt, bool passed = false);
   // A number never used for an attempt before.
   uint64_t NewAttempt() { return next_attempt_++; }
   // Wants the slot gone.
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -120,6 +120,7 @@
   double running_since = -1;
   bool service = false;
   bool lodger = false;  // an array's task that gives way to replicas
+  bool passed = false;  // its job went first since it had been passed over for long
   // What it takes, and from whose limit.
   uint32_t team = kNone;
   double cores = 0;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -387,8 +387,14 @@
   const bool hardly_any = unanswered_ > kQuestionsToJudge && answered_ < unanswered_ * kHardlyAny;
   const bool none = in_a_row_ > kQuestionsToJudge && now - last_answer_ > kNoAnswerFor;
   const bool way_lost = up >= kFleetToJudge && (hardly_any || none);
-  many_silent_ = way_lost || (up >= kFleetToJudge &&
-                              static_cast<double>(silent_machines_) > fleet * kManyOfFleet);
+  // Most of a former leader's machines not heard yet: they may all be deaf, or the way is
+  // blocked, and their reports come later than what a few are given.
+  const auto waited_for = static_cast<double>(waited_for_);
+  const bool most_waited_for =
+      waited_for_ >= kFleetToJudge && waited_for > (waited_for + fleet) * kMostOfFleet;
+  many_silent_ =
+      way_lost || most_waited_for ||
+      (up >= kFleetToJudge && static_cast<double>(silent_machines_) > fleet * kManyOfFleet);
   const bool unreached = way_lost || (up >= kFleetToJudge &&
                                       static_cast<double>(deaf_machines_) > fleet * kMostOfFleet);
   if (!unreached) {
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -52,7 +52,8 @@
 
 void Placer::Put(JobIdx j, uint32_t node, uint64_t attempt) {
   Job& job = (*book_)[j];
-  fleet_->Place(node, j, job.waiting.back(), attempt);
+  const bool passed = !job.spec.service && ranking_->Passed(job, clock_->Now());
+  fleet_->Place(node, j, job.waiting.back(), attempt, passed);
   rooms_->Take(job, node);
   (*fleet_)[node].idle_since = -1;
 }
@@ -177,6 +178,9 @@
     if (s.gone || !s.keep || s.job == kNone || s.service) continue;
     const Job& other = (*book_)[s.job];
     if (other.spec.gang) continue;
+    // It went first once because others always did: stopped for one of those, its place
+    // would go to the next that was passed over, and nothing would ever end.
+    if (s.passed && !job.spec.service) continue;
     const Team* theirs = rooms_->TeamOf(other.team);
     const bool lower = other.spec.priority < job.spec.priority;
     const bool beyond = job.guaranteed && !other.guaranteed && other.team != job.team &&
@@ -351,7 +355,10 @@
       PlaceGang(j);
       continue;
     }
-    PlaceSome(j, false, SIZE_MAX);
+    // Once: with the next task it is again where its rank puts it.
+    const bool passed = ranking_->Passed(job, now);
+    PlaceSome(j, false, passed ? 1 : SIZE_MAX);
+    if (passed && !ranking_->Passed(job, now)) ranking_->JobsChanged();
     // Most of what runs ends soon by itself: only then is work thrown away.
     if (!job.waiting.empty() && job.guaranteed &&
         now - job.waiting_since >= tuning_->preempt_after_s) {
--- a/src/leader/ranking.h
+++ b/src/leader/ranking.h
@@ -13,6 +13,8 @@
   Ranking(JobBook* book, const Rooms* rooms, const Clock* clock, const Tuning* tuning)
       : book_(book), rooms_(rooms), clock_(clock), tuning_(tuning) {}
 
+  // None of its tasks found a place for so long that it goes first once.
+  bool Passed(const Job& job, double now) const;
   // A job came or went: ranks are refreshed before the next use.
   void JobsChanged() { due_ = 0; }
   // Refreshes the ranks if that is due.
@@ -33,7 +35,6 @@
   };
 
   void Guarantees();
-  bool Passed(const Job& job, double now) const;
 
   JobBook* book_;
   const Rooms* rooms_;
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -5,6 +5,14 @@
 namespace deckhall {
 namespace {
 
+// Tasks of the job that are on the machine.
+size_t Count(const FakeWorker& w, const std::string& job) {
+  return static_cast<size_t>(
+      std::count_if(w.report.tasks.begin(), w.report.tasks.end(), [&job](const TaskReport& t) {
+        return t.state != TaskState::kExited && t.task.starts_with(job + "/");
+      }));
+}
+
 TEST(Leader, RunsAnArrayAndTellsItIsDone) {
   World w;
   w.Lead();
@@ -412,6 +420,22 @@
 // Found by drawn meetings: a new leader renewed a machine's lease for the first time and
 // ended before the machine could tell it of a cancelled task, which lived on till its lease
 // was over, beyond the cancellation's time.
+// Found by the same hunt: a new leader returned 21 of 24 machines after 4 s, before the next
+// report of those that only did not hear could come.
+TEST(Takeover, WhenMostMachinesAreNotHeardTheyAreGivenTime) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  std::vector<FakeWorker*> all;
+  for (int i = 1; i <= 8; ++i) all.push_back(&w.Machine("m-" + std::to_string(i), "east"));
+  for (FakeWorker* m : all) m->silent = m != all[0];
+  w.Lead();
+  w.Pass(w.tuning.lost_behind_cut_s - 4);
+  EXPECT_TRUE(w.cloud.returned.empty());
+  w.Pass(8);
+  EXPECT_EQ(w.cloud.returned.size(), 7U);
+}
+
 TEST(Takeover, TheFirstAnswerToAMachineStopsWhatIsCancelled) {
   World w;
   w.cloud.refuse = true;
@@ -739,6 +763,38 @@
   EXPECT_TRUE(a.Has("job-3/0") || b.Has("job-3/0"));
 }
 
+// Found by a hunt on a small, crowded fleet: what went first for having been passed over was
+// stopped for a guarantee two seconds later, its place went to the next one passed over, and
+// hardly anything ended (827 stops a day, 693 tasks done).
+TEST(Placer, WhatWentFirstOnceIsNotStoppedForAGuarantee) {
+  World w;
+  w.cloud.refuse = true;
+  w.tuning.passed_over_s = 10;
+  w.tuning.preempt_after_s = 1;
+  w.Lead();
+  auto& a = w.Machine("m-1", "east");
+  JobSpec filler = w.Array("job-1", 1);
+  JobSpec passed = w.Array("job-2", 3);
+  filler.team = passed.team = "red";
+  w.Submit(w.Array("job-3", 3));  // of blue, within its guarantee
+  w.Submit(filler);
+  w.Pass(1);
+  ASSERT_EQ(a.started.size(), 4U);  // full
+  w.Submit(passed);
+  w.Pass(12);
+  w.Submit(w.Array("job-4", 1));  // of blue, the last that its guarantee covers
+  w.Pass(0.5);
+  a.End("job-1/0", ExitWhy::kDone);
+  w.Pass(6);
+  EXPECT_EQ(Count(a, "job-2"), 1U);
+  EXPECT_EQ(Count(a, "job-4"), 0U);
+  // Once only: the next place is the guaranteed job's again.
+  a.End("job-3/0", ExitWhy::kDone);
+  w.Pass(2);
+  EXPECT_EQ(Count(a, "job-4"), 1U);
+  EXPECT_EQ(Count(a, "job-2"), 1U);
+}
+
 TEST(Placer, ReplicasThatAPassDoesNotGetToWaitForTheNextOne) {
   World w;
   w.settings.teams = {{"blue", 0, 0, 0, 0}};
