Tests: one way to hand over a first answer, one count of a job's tasks

The links to the state service, the cloud and the workers each had the same lines for an answer that comes once or not in time; leader_test and the cluster counted tasks each on their own.

--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -73,6 +73,20 @@
   }
 };
 
+template <class Answer, class Done>
+std::function<void(const Answer&)> Cluster::FirstAnswer(const std::shared_ptr<Shell>& shell,
+                                                        double timeout, const Answer& none,
+                                                        Done done) {
+  auto settled = std::make_shared<bool>(false);
+  std::function<void(const Answer&)> answer = [this, shell, settled, done](const Answer& a) {
+    OnNode(shell, [settled, done, a] {
+      if (!std::exchange(*settled, true)) done(a);
+    });
+  };
+  After(timeout, [answer, none] { answer(none); });
+  return answer;
+}
+
 // Requests to the state service travel, are refused, or carried out late.
 struct Cluster::StateLink : StatePort {
   Cluster* c;
@@ -81,14 +95,7 @@
   // Carries out `act` at the service; the answer comes back unless something is in the way.
   void Ask(double timeout, bool txn, std::function<StateAnswer()> act, Done done) {
     auto shell = self.lock();
-    auto settled = std::make_shared<bool>(false);
-    auto answer = [c = c, shell, settled, done](const StateAnswer& a) {
-      c->OnNode(shell, [settled, done, a] {
-        if (std::exchange(*settled, true)) return;
-        done(a);
-      });
-    };
-    c->After(timeout, [answer] { answer(StateAnswer()); });
+    auto answer = c->FirstAnswer(shell, timeout, StateAnswer(), done);
     const bool late = txn && c->late_writes > 0 && c->Draw(c->late_writes);
     Cluster* cluster = c;
     cluster->Carry(shell->name, "state", [cluster, shell, act, answer, late] {
@@ -177,13 +184,7 @@
   template <class Answer>
   void Ask(std::function<Answer()> act, Answer none, std::function<void(const Answer&)> done) {
     auto shell = self.lock();
-    auto settled = std::make_shared<bool>(false);
-    auto answer = [c = c, shell, settled, done](const Answer& a) {
-      c->OnNode(shell, [settled, done, a] {
-        if (!std::exchange(*settled, true)) done(a);
-      });
-    };
-    c->After(kCloudTimeout, [answer, none] { answer(none); });
+    auto answer = c->FirstAnswer(shell, kCloudTimeout, none, done);
     Cluster* cluster = c;
     cluster->Carry(shell->name, "cloud", [cluster, shell, act, answer, none] {
       const Answer a = cluster->cloud_out ? none : act();
@@ -272,16 +273,9 @@
   void Ask(const std::string& endpoint, double timeout, std::function<WorkerAnswer(SimWorker*)> act,
            Done done) {
     auto shell = self.lock();
-    auto settled = std::make_shared<bool>(false);
-    auto answer = [c = c, shell, settled, done](const WorkerAnswer& a) {
-      c->OnNode(shell, [settled, done, a] {
-        if (std::exchange(*settled, true)) return;
-        done(a);
-      });
-    };
     WorkerAnswer none;
     none.sent = true;
-    c->After(timeout, [answer, none] { answer(none); });
+    auto answer = c->FirstAnswer(shell, timeout, none, done);
     const std::string name = endpoint.substr(0, endpoint.find(':'));
     Cluster* cluster = c;
     // A hanging machine carries it out when it goes on.
@@ -821,13 +815,7 @@
 
 size_t Cluster::On(const std::string& job) const {
   size_t n = 0;
-  for (const auto& [name, w] : workers) {
-    if (w.gone) continue;
-    n += static_cast<size_t>(
-        std::count_if(w.report.tasks.begin(), w.report.tasks.end(), [&job](const TaskReport& t) {
-          return t.state != TaskState::kExited && t.task.starts_with(job + "/");
-        }));
-  }
+  for (const auto& [name, w] : workers) n += w.gone ? 0 : CountTasks(w.report, job);
   return n;
 }
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -133,6 +133,11 @@
   void Carry(const std::string& from, const std::string& to, std::function<void()> fn);
   // Runs on that process, when it does not stand still; never on a later one.
   void OnNode(const std::shared_ptr<Shell>& shell, std::function<void()> fn);
+  // What a request's answer is handed to: `done` gets the first one, on that process, at
+  // the latest `none` when the time is over.
+  template <class Answer, class Done>
+  std::function<void(const Answer&)> FirstAnswer(const std::shared_ptr<Shell>& shell,
+                                                 double timeout, const Answer& none, Done done);
   void TickNode(const std::shared_ptr<Shell>& shell);
   bool Draw(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
   double Delay();
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -197,6 +197,14 @@
   }
 };
 
+// Tasks of the job that have not ended.
+inline size_t CountTasks(const Report& report, const std::string& job) {
+  return static_cast<size_t>(
+      std::count_if(report.tasks.begin(), report.tasks.end(), [&job](const TaskReport& t) {
+        return t.state != TaskState::kExited && t.task.starts_with(job + "/");
+      }));
+}
+
 // Workers that answer commands as PROTOCOL says, unless they are silent.
 struct FakeWorker {
   Report report;
@@ -238,6 +246,8 @@
       return t.task == task && t.state != TaskState::kExited;
     });
   }
+  // Tasks of the job that are on the machine.
+  size_t Count(const std::string& job) const { return CountTasks(report, job); }
   // Commands that were held back arrive.
   void Late() {
     for (auto& [token, rest] : std::exchange(held, {})) {
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -5,14 +5,6 @@
 namespace deckhall {
 namespace {
 
-// Tasks of the job that are on the machine.
-size_t Count(const FakeWorker& w, const std::string& job) {
-  return static_cast<size_t>(
-      std::count_if(w.report.tasks.begin(), w.report.tasks.end(), [&job](const TaskReport& t) {
-        return t.state != TaskState::kExited && t.task.starts_with(job + "/");
-      }));
-}
-
 TEST(Leader, RunsAnArrayAndTellsItIsDone) {
   World w;
   w.Lead();
@@ -786,13 +778,13 @@
   w.Pass(0.5);
   a.End("job-1/0", ExitWhy::kDone);
   w.Pass(6);
-  EXPECT_EQ(Count(a, "job-2"), 1U);
-  EXPECT_EQ(Count(a, "job-4"), 0U);
+  EXPECT_EQ(a.Count("job-2"), 1U);
+  EXPECT_EQ(a.Count("job-4"), 0U);
   // Once only: the next place is the guaranteed job's again.
   a.End("job-3/0", ExitWhy::kDone);
   w.Pass(2);
-  EXPECT_EQ(Count(a, "job-4"), 1U);
-  EXPECT_EQ(Count(a, "job-2"), 1U);
+  EXPECT_EQ(a.Count("job-4"), 1U);
+  EXPECT_EQ(a.Count("job-2"), 1U);
 }
 
 TEST(Placer, ReplicasThatAPassDoesNotGetToWaitForTheNextOne) {
