--- a/src/api/front.cc
+++ b/src/api/front.cc
@@ -59,7 +59,7 @@
 
 void Front::Jobs(const HttpMessage& request, const std::string& path,
                  const HttpServer::Reply& reply) {
-  UserAsk ask;
+  UserRequest ask;
   if (path == kJobsPath) {
     if (request.method != "POST") {
       reply(WrongMethod("POST"));
@@ -99,16 +99,16 @@
   Ask(std::move(ask), reply);
 }
 
-void Front::Ask(UserAsk ask, const HttpServer::Reply& reply) {
+void Front::Ask(UserRequest ask, const HttpServer::Reply& reply) {
   const double began = clock_->Now();
-  UserAsk head;
+  UserRequest head;
   head.op = ask.op;
   head.id = ask.id;
-  backend_.user(std::move(ask), [this, head, began, reply](const UserReply& r) {
+  backend_.user(std::move(ask), [this, head, began, reply](const UserResponse& r) {
     HttpAnswer a;
     a.status = r.status;
     a.retry_after_s = r.retry_after_s;
-    a.body = EncodeUserReply(head, r);
+    a.body = EncodeUserResponse(head, r);
     if (head.op == UserOp::kSubmit) {
       ++submits_;
       if (r.status >= 300) ++refusals_;
@@ -125,10 +125,10 @@
     reply(Error(400, "malformed report"));
     return;
   }
-  backend_.report(std::move(report), [reply](const ReportReply& r) {
+  backend_.report(std::move(report), [reply](const ReportResponse& r) {
     HttpAnswer a;
     a.status = r.status;
-    a.body = EncodeReportReply(r);
+    a.body = EncodeReportResponse(r);
     reply(a);
   });
 }
--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -29,15 +29,15 @@
   return o;
 }
 
-UserReply Unavailable(const char* why, int retry_after_s) {
-  UserReply r;
+UserResponse Unavailable(const char* why, int retry_after_s) {
+  UserResponse r;
   r.status = 503;
   r.error = why;
   r.retry_after_s = retry_after_s;
   return r;
 }
 
-UserReply NoLeader() { return Unavailable("no leader can be reached", 1); }
+UserResponse NoLeader() { return Unavailable("no leader can be reached", 1); }
 
 }  // namespace
 
@@ -91,12 +91,12 @@
   ports.workers = ports_.workers;
   ports.clock = ports_.clock;
   ports.lease = this;
-  ports.quiet_since = [this](uint64_t t) { return mesh_.QuietSince(t); };
+  ports.no_later_term_since = [this](uint64_t t) { return mesh_.NoLaterTermSince(t); };
   ports.doubtful = [this](const std::string& zone) {
     return zone != settings_.site && mesh_.Doubtful(zone);
   };
   for (const Peer& p : settings_.siblings) {
-    if (p.label == election_.former_label()) ports.former_site = p.site;
+    if (p.label == election_.former_label()) ports.former_leader_zone = p.site;
   }
   leader_ = std::make_unique<Leader>(ports, &settings_, &tuning_, Election::kKey, term);
   leader_->on_deposed = [this](const char* why) { election_.Abdicate(why); };
@@ -110,7 +110,7 @@
   retired_.push_back({ports_.clock->Now(), std::move(leader_)});
 }
 
-void Controller::User(UserAsk ask, UserDone done) {
+void Controller::User(UserRequest ask, UserDone done) {
   const double now = ports_.clock->Now();
   if (ask.op == UserOp::kGet && !questions_.Take(now, 1)) {
     if (now >= questions_logged_at_ + kQuestionsLogEvery) {
@@ -133,7 +133,7 @@
   }
   const double timeout = ask.op == UserOp::kGet ? kRelayTimeout : kSubmitRelayTimeout;
   mesh_.Ask(to, std::move(ask), timeout, [done = std::move(done)](Mesh::Body body) {
-    auto* reply = std::get_if<UserReply>(&body);
+    auto* reply = std::get_if<UserResponse>(&body);
     done(reply == nullptr ? NoLeader() : *reply);
   });
 }
@@ -146,7 +146,7 @@
   }
   const std::string to = mesh_.Leader();
   if (to.empty() || to == settings_.label) {
-    ReportReply reply;
+    ReportResponse reply;
     // The way between controllers is shut, but the state service knows who leads:
     // the worker may reach it.
     const std::string& known = election_.leader_label();
@@ -158,22 +158,22 @@
     return;
   }
   mesh_.Ask(to, std::move(report), kReportRelayTimeout, [done = std::move(done)](Mesh::Body body) {
-    auto* reply = std::get_if<ReportReply>(&body);
-    done(reply == nullptr ? ReportReply() : *reply);
+    auto* reply = std::get_if<ReportResponse>(&body);
+    done(reply == nullptr ? ReportResponse() : *reply);
   });
 }
 
 void Controller::Served(Mesh::Body body, const Mesh::Reply& reply) {
-  if (auto* ask = std::get_if<UserAsk>(&body)) {
+  if (auto* ask = std::get_if<UserRequest>(&body)) {
     if (!leader_ || !leader_->loaded()) {
       reply(NoLeader());
       return;
     }
-    leader_->User(*ask, [reply](const UserReply& r) { reply(r); });
+    leader_->User(*ask, [reply](const UserResponse& r) { reply(r); });
     on_work();
   } else if (auto* report = std::get_if<Report>(&body)) {
     if (!leader_) {
-      reply(ReportReply());
+      reply(ReportResponse());
       return;
     }
     reply(leader_->OnReport(*report));
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -32,8 +32,8 @@
 
 class Controller : public LeaseView {
  public:
-  using UserDone = std::function<void(const UserReply&)>;
-  using ReportDone = std::function<void(const ReportReply&)>;
+  using UserDone = std::function<void(const UserResponse&)>;
+  using ReportDone = std::function<void(const ReportResponse&)>;
 
   Controller(const ControllerPorts& ports, Settings settings, Tuning tuning, uint64_t instance);
   ~Controller() override;
@@ -41,7 +41,7 @@
   Controller& operator=(const Controller&) = delete;
 
   void Tick();
-  void User(UserAsk ask, UserDone done);
+  void User(UserRequest ask, UserDone done);
   void CheckIn(Report report, ReportDone done);
   bool Up() const { return health_.Up(ports_.clock->Now()); }
   Mesh& mesh() { return mesh_; }
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -53,17 +53,17 @@
   return m;
 }
 
-void Fleet::Touch(MachIdx mi) {
-  if (machines_[mi].touched) return;
-  machines_[mi].touched = true;
+void Fleet::MarkChanged(MachIdx mi) {
+  if (machines_[mi].marked_changed) return;
+  machines_[mi].marked_changed = true;
   touched_.push_back(mi);
 }
 
-bool Fleet::TakeTouched(MachIdx* m) {
+bool Fleet::TakeChanged(MachIdx* m) {
   if (touched_.empty()) return false;
   *m = touched_.front();
   touched_.pop_front();
-  machines_[*m].touched = false;
+  machines_[*m].marked_changed = false;
   return true;
 }
 
@@ -75,7 +75,7 @@
 void Fleet::Changed(MachIdx mi) {
   machines_[mi].stale = true;
   changed = true;
-  Touch(mi);
+  MarkChanged(mi);
 }
 
 Slot& Fleet::AddSlot(MachIdx mi, Slot slot) {
@@ -223,14 +223,14 @@
         FreeTask(mi, slot);
         EraseSlot(mi, i);
       } else {
-        Touch(mi);
+        MarkChanged(mi);
       }
     }
   }
   return true;
 }
 
-void Fleet::Unheard(MachIdx mi) {
+void Fleet::ProbeFailed(MachIdx mi) {
   Machine& m = machines_[mi];
   if (m.failing_since < 0) m.failing_since = clock_->Now();
   ++m.fails;
@@ -408,7 +408,7 @@
 }
 
 void Fleet::Unwant(MachIdx mi, Slot* slot, double grace_s) {
-  Touch(mi);
+  MarkChanged(mi);
   if (!slot->keep && grace_s >= slot->grace_s) return;
   if (!slot->keep) slot->stop_sent = -1e9;  // a shorter grace is told at once
   slot->keep = false;
@@ -567,7 +567,7 @@
   }
   // A former leader may have answered it until its hold was over.
   const double last =
-      std::max(m.answered_at, term_began + options_.old_hold_s * (1 + options_.drift));
+      std::max(m.answered_at, term_began + options_.former_grace_s * (1 + options_.drift));
   return now > last + lease;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,7 +16,7 @@
 
 struct FleetOptions {
   double lease_s = 30;
-  double old_hold_s = 20;  // how long a former leader may go on answering reports
+  double former_grace_s = 20;  // how long a former leader may go on answering reports
   double drift = 0.002;
   double wall_bound_s = 1;  // how far clocks may be from the true time of day
 };
@@ -56,7 +56,7 @@
   void Answered(MachIdx m, const Report& report, Stamp asked);
   Stamp StampOf(MachIdx m) const { return {machines_[m].session, machines_[m].seq}; }
   // A question stayed unanswered.
-  void Unheard(MachIdx m);
+  void ProbeFailed(MachIdx m);
   // Has shown that it heard the token it would get commands with.
   static bool Hears(const Machine& m) { return m.seen_token >= m.token; }
   // Has shown a token of this term: a former leader's answers don't reach it any more.
@@ -90,8 +90,8 @@
   // What the tasks of each team take, by the team's index.
   const std::vector<Use>& team_use() const { return team_use_; }
   // Machines about which something changed: each is handed out once.
-  bool TakeTouched(MachIdx* m);
-  void Touch(MachIdx m);
+  bool TakeChanged(MachIdx* m);
+  void MarkChanged(MachIdx m);
   // The picture of every machine's room is out of date.
   void AllStale();
 
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -67,7 +67,7 @@
   bool full = false;  // has its spec and tasks
   uint32_t team = kNone;
   uint32_t image = kNone;
-  uint32_t klass = kNone;
+  uint32_t job_class = kNone;
   uint32_t zone = kNone;  // the only allowed zone
   double submitted_wall = 0;
   double ended_at = -1;     // steady time at which it was done or cancelled
@@ -186,8 +186,8 @@
   double used_memory = 0;
   double service_cores = 0;
   double lodger_cores = 0;
-  bool touched = false;  // waits to be looked at, see Fleet::TakeTouched
-  bool stale = true;     // the picture of its free room is out of date
+  bool marked_changed = false;  // waits to be looked at, see Fleet::TakeChanged
+  bool stale = true;            // the picture of its free room is out of date
 };
 
 }  // namespace deckhall
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -31,7 +31,7 @@
 FleetOptions FleetOf(const Settings& s) {
   FleetOptions o;
   o.lease_s = s.lease_s;
-  o.old_hold_s = HoldSeconds(s);
+  o.former_grace_s = GracePeriodSeconds(s);
   o.wall_bound_s = s.time_bound_ms / 1000;
   return o;
 }
@@ -43,8 +43,8 @@
   return o;
 }
 
-UserReply Unavailable(const char* why) {
-  UserReply r;
+UserResponse Unavailable(const char* why) {
+  UserResponse r;
   r.status = 503;
   r.error = why;
   r.retry_after_s = 1;
@@ -59,7 +59,7 @@
 
 // A task whose cancellation another leader told of must be gone in cancel_s even
 // from a machine that only we still answered: hold and lease fit into it.
-double HoldSeconds(const Settings& s) {
+double GracePeriodSeconds(const Settings& s) {
   return std::max(0.0, (s.cancel_s - s.lease_s) * 0.9 - 1.5);
 }
 
@@ -128,7 +128,7 @@
     Job& job = book_[j];
     job.left = job.saved_left >= 0 ? job.saved_left : ranking_.WorkLeft(job);
   }
-  for (MachIdx m : fleet_.active()) fleet_.Touch(m);
+  for (MachIdx m : fleet_.active()) fleet_.MarkChanged(m);
   loaded_ = release_ = true;
   next_save_ = now + tuning_->save_s;
   next_hints_ = now + kHintsEvery * tuning_->save_s;
@@ -138,18 +138,18 @@
   Tick();
 }
 
-double Leader::HoldUntil() const {
+double Leader::GraceUntil() const {
   // Counted from when the last good renewal was sent, or from when all others
   // last said that they know of no later term: in an outage of the state service
   // that reaches everybody, nobody can follow us, and tasks stay up.
   double since = ports_.lease->TrustedUntil() - tuning_->lease_ms / 1000.0;
-  if (ports_.quiet_since) since = std::max(since, ports_.quiet_since(term_));
-  return since + HoldSeconds(*settings_);
+  if (ports_.no_later_term_since) since = std::max(since, ports_.no_later_term_since(term_));
+  return since + GracePeriodSeconds(*settings_);
 }
 
-UserReply Leader::State(JobIdx j, int status) const {
+UserResponse Leader::State(JobIdx j, int status) const {
   const Job& job = book_[j];
-  UserReply r;
+  UserResponse r;
   r.status = status;
   r.done = job.done;
   r.running = job.running;
@@ -161,7 +161,7 @@
   return r;
 }
 
-void Leader::User(const UserAsk& ask, UserDone done) {
+void Leader::User(const UserRequest& ask, UserDone done) {
   if (!loaded_) {
     done(Unavailable("taking over"));
     return;
@@ -196,10 +196,10 @@
   }
 }
 
-UserReply Leader::Unknown() const {
+UserResponse Leader::Unknown() const {
   // What an unreadable page held may have been accepted: it can't be denied.
   if (store_.unreadable() > 0) return Unavailable("a page of the state service can't be read");
-  UserReply r;
+  UserResponse r;
   r.status = 404;
   r.error = "no such job";
   return r;
@@ -253,14 +253,14 @@
   return why;
 }
 
-void Leader::Submit(const UserAsk& ask, UserDone done) {
+void Leader::Submit(const UserRequest& ask, UserDone done) {
   JobIdx j = book_.Find(ask.id);
   if (j != kNone && book_[j].told) {
     done(State(j, 200));
     return;
   }
   if (j == kNone) {
-    UserReply r;
+    UserResponse r;
     if (!ask.invalid.empty()) {
       r.status = 400;
       r.error = ask.invalid;
@@ -291,10 +291,10 @@
     ranking_.JobsChanged();
   }
   waiters_.push_back({j, UserOp::kSubmit, std::move(done), 201, ports_.clock->Now()});
-  store_.Pump();
+  store_.Flush();
 }
 
-void Leader::Cancel(const UserAsk& ask, UserDone done) {
+void Leader::Cancel(const UserRequest& ask, UserDone done) {
   const JobIdx j = book_.Find(ask.id);
   if (j == kNone) {
     done(Unknown());
@@ -313,7 +313,7 @@
     fleet_.changed = true;
   }
   waiters_.push_back({j, UserOp::kCancel, std::move(done), 200, ports_.clock->Now()});
-  store_.Pump();
+  store_.Flush();
 }
 
 void Leader::Committed() {
@@ -323,11 +323,11 @@
       job.told = true;
       fleet_.changed = true;
       spdlog::info("job {} accepted: {} of {}, {} tasks of {} cores, estimate {} s, deadline {} s",
-                   job.id, job.spec.klass, job.spec.team, job.spec.tasks, job.spec.cores,
+                   job.id, job.spec.job_class, job.spec.team, job.spec.tasks, job.spec.cores,
                    job.spec.estimate_s, job.spec.deadline_s.value_or(0));
     }
   }
-  for (JobIdx j : book_.fading()) {
+  for (JobIdx j : book_.ended_jobs()) {
     // Once told it stays told: the row may be rewritten later, the answer may not
     // go back.
     if (book_.Durable(j)) book_[j].end_told = true;
@@ -359,14 +359,14 @@
   }
 }
 
-void Leader::FadeJobs() {
+void Leader::CollectEndedJobs() {
   const double now = ports_.clock->Now();
-  const double keep = settings_->cancel_s + settings_->lease_s + HoldSeconds(*settings_);
-  const std::vector<JobIdx> fading = book_.fading();
-  for (JobIdx j : fading) {
+  const double keep = settings_->cancel_s + settings_->lease_s + GracePeriodSeconds(*settings_);
+  const std::vector<JobIdx> ended_jobs = book_.ended_jobs();
+  for (JobIdx j : ended_jobs) {
     Job& job = book_[j];
     if (now - job.ended_at < keep || job.unseen > 0 || !job.end_told) continue;
-    if (job.slots == 0) book_.Shrink(j);
+    if (job.slots == 0) book_.DropSpec(j);
   }
 }
 
@@ -390,7 +390,7 @@
     for (Waiter& w : std::exchange(waiters_, {})) {
       w.done(Unavailable("the state service does not answer"));
     }
-    store_.Pump();
+    store_.Flush();
     return;
   }
   if (now >= next_watch_) {
@@ -410,8 +410,8 @@
     pass_after_ = now + std::min(kPassGapMost, kPassGap + kPassGapPerMachine * machines);
     placer_.Pass();
   }
-  MachIdx touched = 0;
-  while (direct_.Level(now) >= 1 && fleet_.TakeTouched(&touched)) Direct(touched);
+  MachIdx changed = 0;
+  while (direct_.Level(now) >= 1 && fleet_.TakeChanged(&changed)) Direct(changed);
   if (now >= next_plan_) {
     next_plan_ = now + tuning_->plan_s;
     planner_.Plan();
@@ -425,7 +425,7 @@
     next_hints_ = now + kHintsEvery * tuning_->save_s;
     hints_.Save();
   }
-  store_.Pump();
+  store_.Flush();
 }
 
 }  // namespace deckhall
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -33,21 +33,21 @@
   // Whether the way to a zone was blocked of late; may be empty.
   std::function<bool(const std::string& zone)> doubtful;
   // A time at which surely no later term had begun; may be empty.
-  std::function<double(uint64_t term)> quiet_since;
+  std::function<double(uint64_t term)> no_later_term_since;
   // The zone of whoever led before, as far as known.
-  std::string former_site;
+  std::string former_leader_zone;
 };
 
 class Leader {
  public:
-  using UserDone = std::function<void(UserReply)>;
+  using UserDone = std::function<void(UserResponse)>;
 
   Leader(const LeaderPorts& ports, const Settings* settings, const Tuning* tuning,
          const std::string& leader_key, uint64_t term);
 
   void Begin();
-  void User(const UserAsk& ask, UserDone done);
-  ReportReply OnReport(const Report& report);
+  void User(const UserRequest& ask, UserDone done);
+  ReportResponse OnReport(const Report& report);
   void Tick();
   // The term is over: answers what waits and does nothing any more. Kept until
   // the last of its requests is answered.
@@ -65,7 +65,7 @@
   // Machines and nodes looked at so far, to bound the work as the fleet grows.
   uint64_t steps() const { return rooms_.steps + looked_at_; }
   // Reports and answers that did not fit what is known.
-  uint64_t odd() const { return odd_; }
+  uint64_t implausible_reports() const { return implausible_reports_; }
 
  private:
   struct Waiter {
@@ -78,10 +78,10 @@
 
   void Load();
   void Loaded(const std::vector<std::pair<RowId, std::string>>& rows);
-  void Submit(const UserAsk& ask, UserDone done);
-  void Cancel(const UserAsk& ask, UserDone done);
-  UserReply State(JobIdx j, int status) const;
-  UserReply Unknown() const;
+  void Submit(const UserRequest& ask, UserDone done);
+  void Cancel(const UserRequest& ask, UserDone done);
+  UserResponse State(JobIdx j, int status) const;
+  UserResponse Unknown() const;
   std::string NeverRuns(const JobSpec& spec) const;
   // The limit that stands against one more such job; null: none does.
   const char* Full(const JobSpec& spec);
@@ -108,11 +108,11 @@
   void Probe(MachIdx m, bool urgent);
   // False when what the machine says can't be: it then changes nothing.
   bool Plausible(const Report& report);
-  void Odd(const std::string& machine, const char* why);
+  void RejectReport(const std::string& machine, const char* why);
   void Notice(MachIdx m);
   void SaveProgress();
-  void FadeJobs();
-  double HoldUntil() const;
+  void CollectEndedJobs();
+  double GraceUntil() const;
 
   LeaderPorts ports_;
   const Settings* settings_;
@@ -158,14 +158,14 @@
   size_t few_ = 2;  // so many may fail at once without the way being suspected
   int load_tries_ = 0;
   uint64_t looked_at_ = 0;
-  uint64_t odd_ = 0;
-  double odd_logged_at_ = -1e9;
+  uint64_t implausible_reports_ = 0;
+  double implausible_logged_at_ = -1e9;
   double full_logged_at_ = -1e9;
   std::vector<Waiter> waiters_;
 };
 
 // How long a leader goes on answering reports after it last had its lease.
-double HoldSeconds(const Settings& settings);
+double GracePeriodSeconds(const Settings& settings);
 
 // Questions to workers that the processor share allows for in a second.
 double MessagesPerSecond(const Settings& settings, const Tuning& tuning);
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -39,12 +39,13 @@
 
 }  // namespace
 
-void Leader::Odd(const std::string& machine, const char* why) {
-  ++odd_;
+void Leader::RejectReport(const std::string& machine, const char* why) {
+  ++implausible_reports_;
   const double now = ports_.clock->Now();
-  if (now - odd_logged_at_ < 1) return;
-  odd_logged_at_ = now;
-  spdlog::warn("machine {}: {}; ignored ({} such messages so far)", machine, why, odd_);
+  if (now - implausible_logged_at_ < 1) return;
+  implausible_logged_at_ = now;
+  spdlog::warn("machine {}: {}; ignored ({} such messages so far)", machine, why,
+               implausible_reports_);
 }
 
 bool Leader::Plausible(const Report& r) {
@@ -52,7 +53,7 @@
     // While our lease is trusted nobody can have begun a later term, so no
     // controller gave that token. Without it, somebody may have.
     if (ports_.lease->Trusted()) {
-      Odd(r.machine, "has a token that no controller gave");
+      RejectReport(r.machine, "has a token that no controller gave");
     } else if (on_deposed) {
       on_deposed("a worker has seen a higher token");
     }
@@ -63,21 +64,21 @@
   const Machine& m = fleet_[mi];
   if (m.type != kNone && (book_.types.Find(r.type) != m.type || m.spot != r.spot ||
                           book_.zones.Find(r.zone) != m.zone)) {
-    Odd(r.machine, "says it is of another type, zone or kind");
+    RejectReport(r.machine, "says it is of another type, zone or kind");
     return false;
   }
   return true;
 }
 
-ReportReply Leader::OnReport(const Report& r) {
-  ReportReply reply;
+ReportResponse Leader::OnReport(const Report& r) {
+  ReportResponse reply;
   const double now = ports_.clock->Now();
   if (!Plausible(r)) {
     reply.status = 421;
     return reply;
   }
   const bool trusted = ports_.lease->Trusted();
-  if (!loaded_ || (!trusted && now > HoldUntil())) return reply;
+  if (!loaded_ || (!trusted && now > GraceUntil())) return reply;
   MachIdx mi = fleet_.Find(r.machine);
   if (mi == kNone) {
     if (!trusted) return reply;
@@ -96,7 +97,7 @@
   if (!fresh) {
     // Overtaken by an answer to a command, or a late copy: it renews nothing here,
     // and gets no commands.
-    if (m.suspect) Odd(r.machine, "sent an old report");
+    if (m.suspect) RejectReport(r.machine, "sent an old report");
     // To the worker it may be an answer that renews its lease all the same.
     reply.commands = fleet_.StopsOfEnded(r);
     return reply;
@@ -213,7 +214,7 @@
     }
   };
   look(book_.live());
-  look(book_.fading());
+  look(book_.ended_jobs());
 }
 
 void Leader::Direct(MachIdx mi) {
@@ -248,15 +249,15 @@
   if (!named) {
     ++m.do_fails;
     m.do_after = now + std::min(4.0, 0.25 * std::pow(2.0, std::min(m.do_fails, 6)));
-    fleet_.Unheard(mi);
-    if (answer.has_report) Odd(m.name, "is not who answers at its address");
+    fleet_.ProbeFailed(mi);
+    if (answer.has_report) RejectReport(m.name, "is not who answers at its address");
     if (answer.sent) fleet_.Unanswered(mi);
     return;
   }
   if (!Plausible(answer.report)) {
     // Given up on when it stays so.
     m.do_after = now + 4;
-    fleet_.Unheard(mi);
+    fleet_.ProbeFailed(mi);
     return;
   }
   m.do_fails = 0;
@@ -287,7 +288,7 @@
       // Those known to be silent must not take the whole budget.
       machine.probe_after = ports_.clock->Now() +
                             std::min(kRarest, 0.1 * std::pow(2.0, std::min(machine.fails, 6) - 1));
-      fleet_.Unheard(mi);
+      fleet_.ProbeFailed(mi);
       return;
     }
     fleet_.Answered(mi, a.report, asked);
@@ -302,8 +303,8 @@
   // Behind a cut its tasks run on until its lease ends; returning it sooner would end
   // them before there is room elsewhere. What a former leader inside the cut answers
   // lives longer still; other former leaders' machines block what may be on them.
-  const bool answered_inside =
-      m.zone != kNone && !ports_.former_site.empty() && book_.zones[m.zone] == ports_.former_site;
+  const bool answered_inside = m.zone != kNone && !ports_.former_leader_zone.empty() &&
+                               book_.zones[m.zone] == ports_.former_leader_zone;
   if (m.cut && (!waited_for || answered_inside || m.unanswered_since >= 0)) {
     if (silent > settings_->lease_s * kCutLeases && !waited_for) {
       rentals_.Return(mi, "silent behind a cut");
@@ -352,7 +353,7 @@
   }
   if (m.returning) return;
   // What is wanted there and could not be told, or must be told again.
-  if (now >= m.do_after && (!m.accounted || fleet_.HasCommands(mi, true))) fleet_.Touch(mi);
+  if (now >= m.do_after && (!m.accounted || fleet_.HasCommands(mi, true))) fleet_.MarkChanged(mi);
   const double silent = now - std::max(m.heard_at, began_);
   const double overdue = settings_->report_s * 1.3 + 0.5;
   const double often = m.busy > 0 ? probe_every_ : std::max(tuning_->silent_s, overdue);
@@ -415,7 +416,7 @@
     Watch(mi);
     if (fleet_[mi].notice_until >= 0) Notice(mi);
   }
-  FadeJobs();
+  CollectEndedJobs();
 }
 
 double Leader::UnreachedFor() const {
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -52,7 +52,7 @@
 
 void Placer::Put(JobIdx j, uint32_t node, uint64_t attempt) {
   Job& job = (*book_)[j];
-  const bool passed = !job.spec.service && ranking_->Passed(job, clock_->Now());
+  const bool passed = !job.spec.service && ranking_->PassedOver(job, clock_->Now());
   fleet_->Place(node, j, job.waiting.back(), attempt, passed);
   rooms_->Take(job, node);
   (*fleet_)[node].idle_since = -1;
@@ -356,9 +356,9 @@
       continue;
     }
     // Once: with the next task it is again where its rank puts it.
-    const bool passed = ranking_->Passed(job, now);
+    const bool passed = ranking_->PassedOver(job, now);
     PlaceSome(j, false, passed ? 1 : SIZE_MAX);
-    if (passed && !ranking_->Passed(job, now)) ranking_->JobsChanged();
+    if (passed && !ranking_->PassedOver(job, now)) ranking_->JobsChanged();
     // Most of what runs ends soon by itself: only then is work thrown away.
     if (!job.waiting.empty() && job.guaranteed &&
         now - job.waiting_since >= tuning_->preempt_after_s) {
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -164,7 +164,7 @@
     need.cores = rooms_->unit_cores();
     need.memory_gb = rooms_->unit_memory();
     // Arrays on ordinary machines give way: their room counts as kept.
-    const double open = std::max(0.0, headroom - rooms_->lodgers());
+    const double open = std::max(0.0, headroom - rooms_->lent_reserve());
     lent = std::max(0.0, open - headroom * tuning_->headroom_free);
     const auto count = static_cast<uint32_t>(std::ceil(open / rooms_->unit_cores()));
     if (count > 0) AddWant(&wants, wants.size(), need, count);
@@ -336,7 +336,7 @@
     services_wait = services_wait || job.spec.service;
     waiting += job.spec.cores * static_cast<double>(job.waiting.size());
   }
-  double free_ordinary = rooms_->free_ordinary() + rooms_->lodgers();
+  double free_ordinary = rooms_->free_ordinary() + rooms_->lent_reserve();
   for (MachIdx mi : fleet_->active()) {
     Machine& m = (*fleet_)[mi];
     if (m.returning || m.cut) continue;
--- a/src/leader/ranking.cc
+++ b/src/leader/ranking.cc
@@ -13,9 +13,9 @@
 }  // namespace
 
 void Ranking::Observed(const Job& job, double run_s) {
-  if (job.klass >= classes_.size()) classes_.resize(job.klass + 1);
+  if (job.job_class >= classes_.size()) classes_.resize(job.job_class + 1);
   if (job.spec.estimate_s <= 0 || run_s <= 0) return;
-  ClassStats& c = classes_[job.klass];
+  ClassStats& c = classes_[job.job_class];
   const double x = std::log(std::clamp(run_s / job.spec.estimate_s, 0.05, 20.0));
   c.weight = std::min(c.weight + 1, 200.0);
   c.log_ratio += (x - c.log_ratio) / c.weight;
@@ -23,8 +23,8 @@
 
 double Ranking::TaskSeconds(const Job& job) const {
   double ratio = 1;
-  if (job.klass < classes_.size()) {
-    const ClassStats& c = classes_[job.klass];
+  if (job.job_class < classes_.size()) {
+    const ClassStats& c = classes_[job.job_class];
     // The owners' word counts like ten finished tasks.
     ratio = std::exp(c.log_ratio * c.weight / (c.weight + 10));
   }
@@ -61,7 +61,7 @@
 // size, team or priority. Otherwise a stream of jobs ranked better could keep it
 // waiting for ever. Its limit, its zones and who may be stopped for it stay as
 // they are.
-bool Ranking::Passed(const Job& job, double now) const {
+bool Ranking::PassedOver(const Job& job, double now) const {
   return !job.waiting.empty() && now - job.starved_since > tuning_->passed_over_s;
 }
 
@@ -101,7 +101,7 @@
   std::sort(arrays.begin(), arrays.end(), [this, now](JobIdx a, JobIdx b) {
     const Job& x = (*book_)[a];
     const Job& y = (*book_)[b];
-    if (Passed(x, now) != Passed(y, now)) return Passed(x, now);
+    if (PassedOver(x, now) != PassedOver(y, now)) return PassedOver(x, now);
     if (x.guaranteed != y.guaranteed) return x.guaranteed;
     if (x.finish != y.finish) return x.finish < y.finish;
     if (x.submitted_wall != y.submitted_wall) return x.submitted_wall < y.submitted_wall;
--- a/src/leader/ranking.h
+++ b/src/leader/ranking.h
@@ -14,7 +14,7 @@
       : book_(book), rooms_(rooms), clock_(clock), tuning_(tuning) {}
 
   // None of its tasks found a place for so long that it goes first once.
-  bool Passed(const Job& job, double now) const;
+  bool PassedOver(const Job& job, double now) const;
   // A job came or went: ranks are refreshed before the next use.
   void JobsChanged() { due_ = 0; }
   // Refreshes the ranks if that is due.
--- a/src/leader/rooms.cc
+++ b/src/leader/rooms.cc
@@ -84,7 +84,7 @@
     }
   }
   nodes_.resize(fleet_->size());
-  free_ordinary_ = free_spot_ = lodgers_ = capacity_ = 0;
+  free_ordinary_ = free_spot_ = lent_reserve_ = capacity_ = 0;
   double most = 0;
   double services = 0;
   for (MachIdx mi : fleet_->active()) {
@@ -98,7 +98,7 @@
     services += m.service_cores;
     if (!n.usable) continue;
     (m.spot ? free_spot_ : free_ordinary_) += std::max(0.0, n.cores);
-    if (!m.spot) lodgers_ += m.lodger_cores;
+    if (!m.spot) lent_reserve_ += m.lodger_cores;
   }
   capacity_ = std::max(capacity_, 1.0);
   unit_cores_ = unit_memory_ = 0;
@@ -167,7 +167,7 @@
     }
   };
   add(book_->live());
-  add(book_->fading());
+  add(book_->ended_jobs());
   for (size_t t = 0; t < use_.size(); ++t) {
     use_[t].cores += std::min(unseen[t].cores, hidden.cores);
     use_[t].gpus += std::min(unseen[t].gpus, hidden.gpus);
--- a/src/leader/rooms.h
+++ b/src/leader/rooms.h
@@ -46,7 +46,7 @@
   double free_ordinary() const { return free_ordinary_; }
   double free_spot() const { return free_spot_; }
   // Cores of ordinary machines that services may claim from arrays.
-  double lodgers() const { return lodgers_; }
+  double lent_reserve() const { return lent_reserve_; }
   // Room for replicas to come back after machines are lost, and for those that
   // arrive while a new machine boots.
   double headroom() const { return headroom_; }
@@ -81,7 +81,7 @@
   std::vector<char> cut_;
   double free_ordinary_ = 0;
   double free_spot_ = 0;
-  double lodgers_ = 0;
+  double lent_reserve_ = 0;
   double headroom_ = 0;
   double unit_cores_ = 0;
   double unit_memory_ = 0;
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -23,7 +23,7 @@
       instance_(instance),
       max_pending_(max_pending),
       server_(std::move(server)),
-      quiet_(peers.size()) {
+      term_freshness_(peers.size()) {
   for (Peer& p : peers) {
     links_.emplace_back();
     links_.back().peer = std::move(p);
@@ -90,8 +90,8 @@
   });
 }
 
-double Mesh::QuietSince(uint64_t term) const {
-  return highest_term_ > term ? Quiet::kNever : quiet_.Since(clock_->Now());
+double Mesh::NoLaterTermSince(uint64_t term) const {
+  return highest_term_ > term ? TermFreshness::kNever : term_freshness_.Since(clock_->Now());
 }
 
 void Mesh::NoteTerm(uint64_t term) {
@@ -163,7 +163,7 @@
   if (auto* ping = std::get_if<MeshPing>(&frame.body)) {
     link.heard = clock_->Now();
     link.last = *ping;
-    quiet_.Heard(peer, static_cast<double>(frame.id) / 1000, ping->informed);
+    term_freshness_.Heard(peer, static_cast<double>(frame.id) / 1000, ping->informed);
     OnPing(*ping);
   } else if (frame.id != 0) {
     Settle(frame.id, std::move(frame.body));
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "mesh/quiet.h"
+#include "mesh/term_freshness.h"
 #include "net/clock.h"
 #include "net/tcp.h"
 #include "wire/mesh_codec.h"
@@ -65,7 +65,7 @@
   // said so in answer to something sent then or later. Held-back packets can't
   // make it younger than it is, and a process that was started anew and has not
   // yet asked the state service is not believed: its predecessor may have led.
-  double QuietSince(uint64_t term) const;
+  double NoLaterTermSince(uint64_t term) const;
   // The state service showed this process that no later term has begun so far.
   void NoteTerm(uint64_t term);
   // Connections to the peer are refused, rather than silent.
@@ -110,7 +110,7 @@
   uint64_t term_ = 0;
   uint64_t highest_term_ = 0;
   bool informed_ = false;
-  Quiet quiet_;
+  TermFreshness term_freshness_;
   std::vector<Link> links_;
   std::map<uint64_t, Pending> pending_;
   uint64_t next_id_ = 1;
--- a/src/mesh/quiet.h
+++ b/src/mesh/term_freshness.h
@@ -8,9 +8,9 @@
 
 namespace deckhall {
 
-class Quiet {
+class TermFreshness {
  public:
-  explicit Quiet(size_t peers) : asked_at_(peers, kNever) {}
+  explicit TermFreshness(size_t peers) : asked_at_(peers, kNever) {}
 
   // The peer knew of no later term when it answered what was sent at `asked_at`.
   // The word of a process that has not yet asked the state service since it was
--- a/src/state/job_book.cc
+++ b/src/state/job_book.cc
@@ -42,7 +42,7 @@
   job.full = true;
   job.team = teams.Add(job.spec.team);
   job.image = images.Add(job.spec.image);
-  job.klass = classes.Add(job.spec.klass);
+  job.job_class = classes.Add(job.spec.job_class);
   job.zone = job.spec.zone.empty() ? kNone : zones.Add(job.spec.zone);
   if (job.spec.types) {
     job.types.assign(1, 0);
@@ -139,7 +139,7 @@
       live_.push_back(j);
       live_tasks_ += job.tasks.size();
     } else {
-      fading_.push_back(j);
+      ended_jobs_.push_back(j);
     }
   }
 }
@@ -311,13 +311,13 @@
   job.ended_at = now;
   RemoveFrom(&live_, j);
   live_tasks_ -= job.tasks.size();
-  fading_.push_back(j);
+  ended_jobs_.push_back(j);
   Save(j, true);
 }
 
-void JobBook::Shrink(JobIdx j) {
+void JobBook::DropSpec(JobIdx j) {
   Job& job = jobs_[j];
-  RemoveFrom(&fading_, j);
+  RemoveFrom(&ended_jobs_, j);
   job.full = false;
   job.tasks = {};
   job.waiting = {};
--- a/src/state/job_book.h
+++ b/src/state/job_book.h
@@ -24,7 +24,7 @@
   const Job& operator[](JobIdx j) const { return jobs_[j]; }
   const std::vector<JobIdx>& live() const { return live_; }
   // Jobs that are over but whose spec is still kept.
-  const std::vector<JobIdx>& fading() const { return fading_; }
+  const std::vector<JobIdx>& ended_jobs() const { return ended_jobs_; }
   size_t live_tasks() const { return live_tasks_; }
 
   JobIdx Create(const JobSpec& spec, double wall);
@@ -45,7 +45,7 @@
   // The job is over; its row is urgent.
   void End(JobIdx j, JobLife life, double now);
   // Drops the spec of a job that has been over for a while.
-  void Shrink(JobIdx j);
+  void DropSpec(JobIdx j);
 
   Names teams, images, classes, zones, types;
 
@@ -61,7 +61,7 @@
   std::vector<Job> jobs_;
   std::unordered_map<std::string, JobIdx> index_;
   std::vector<JobIdx> live_;
-  std::vector<JobIdx> fading_;
+  std::vector<JobIdx> ended_jobs_;
   size_t live_tasks_ = 0;
   struct Bits {
     std::string id;
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -100,7 +100,7 @@
   return static_cast<uint32_t>(pages_.size() - 1);
 }
 
-void RowStore::Touch(uint32_t index, bool urgent) {
+void RowStore::MarkDirty(uint32_t index, bool urgent) {
   Page& p = pages_[index];
   if (!p.dirty) p.since = clock_->Now();
   p.dirty = true;
@@ -124,14 +124,14 @@
   row.live = row.dirty = true;
   pages_[row.page].reserved += row.reserve;
   pages_[row.page].rows.push_back(id);
-  Touch(row.page, urgent);
+  MarkDirty(row.page, urgent);
   return id;
 }
 
 void RowStore::Set(RowId id, std::string text, size_t reserve, bool urgent) {
   Row& row = rows_[id];
   if (row.text == text) {
-    if (urgent && row.dirty) Touch(row.page, true);
+    if (urgent && row.dirty) MarkDirty(row.page, true);
     return;
   }
   Page& page = pages_[row.page];
@@ -140,7 +140,7 @@
   row.reserve = want;
   row.text = std::move(text);
   row.dirty = true;
-  Touch(row.page, urgent);
+  MarkDirty(row.page, urgent);
 }
 
 void RowStore::Reserve(RowId id, size_t reserve) {
@@ -156,7 +156,7 @@
   Page& page = pages_[row.page];
   page.reserved -= row.reserve;
   page.rows.erase(std::find(page.rows.begin(), page.rows.end(), id));
-  Touch(row.page, false);
+  MarkDirty(row.page, false);
   row = Row();
   free_rows_.push_back(id);
 }
@@ -172,7 +172,7 @@
   return out;
 }
 
-void RowStore::Pump() {
+void RowStore::Flush() {
   while (SendOne()) {
   }
 }
@@ -265,7 +265,7 @@
     Resolve();
   }
   if (ok && on_commit) on_commit();
-  Pump();
+  Flush();
 }
 
 void RowStore::Resolve() {
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -50,7 +50,7 @@
   int unreadable() const { return unreadable_; }
 
   // Sends what is due. Called whenever something may have become due.
-  void Pump();
+  void Flush();
   // Sends nothing any more.
   void Stop() { stopped_ = true; }
   // After each commit.
@@ -80,7 +80,7 @@
   };
 
   uint32_t PageFor(size_t bytes);
-  void Touch(uint32_t page, bool urgent);
+  void MarkDirty(uint32_t page, bool urgent);
   std::string Render(const Page& page, size_t* bytes) const;
   // Sends one transaction, if something is due and may go.
   bool SendOne();
--- a/src/wire/job_codec.cc
+++ b/src/wire/job_codec.cc
@@ -48,7 +48,7 @@
 
 std::string ReadJob(const JsonValue& o, JobSpec* job) {
   if (!JsonString(o, "name_id", &job->id) || !ValidJobId(job->id)) return Bad("name_id");
-  if (!ReadName(o, "clase", &job->klass)) return Bad("clase");
+  if (!ReadName(o, "clase", &job->job_class)) return Bad("clase");
   if (!ReadName(o, "cuadrilla", &job->team)) return Bad("cuadrilla");
   std::string word;
   if (!JsonString(o, "forma", &word)) return Bad("forma");
@@ -102,7 +102,7 @@
 void WriteJob(JsonWriter& w, const JobSpec& job) {
   w.StartObject();
   PutString(w, "name_id", job.id);
-  PutString(w, "clase", job.klass);
+  PutString(w, "clase", job.job_class);
   PutString(w, "cuadrilla", job.team);
   PutString(w, "forma", job.service ? "daemon" : job.gang ? "ensemble" : "sweep");
   PutString(w, "rango", kPriorityWords[static_cast<int>(job.priority)]);
@@ -153,7 +153,7 @@
   return "pending";
 }
 
-std::string EncodeUserReply(const UserAsk& ask, const UserReply& reply) {
+std::string EncodeUserResponse(const UserRequest& ask, const UserResponse& reply) {
   if (reply.status != 200 && reply.status != 201) return EncodeError(reply.error);
   rapidjson::StringBuffer buffer;
   JsonWriter w(buffer);
--- a/src/wire/mesh.capnp
+++ b/src/wire/mesh.capnp
@@ -12,10 +12,10 @@
   union {
     none @3 :Void;
     ping @4 :Ping;
-    userAsk @5 :UserAsk;
-    userReply @6 :UserReply;
+    userRequest @5 :UserRequest;
+    userResponse @6 :UserResponse;
     report @7 :Report;
-    reportReply @8 :ReportReply;
+    reportResponse @8 :ReportResponse;
   }
 }
 
@@ -32,7 +32,7 @@
 
 struct Job {
   id @0 :Text;
-  klass @1 :Text;
+  jobClass @1 :Text;
   team @2 :Text;
   service @3 :Bool;
   priority @4 :UInt8;
@@ -55,14 +55,14 @@
   gang @21 :Bool;
 }
 
-struct UserAsk {
+struct UserRequest {
   op @0 :UInt8;           # 0 get, 1 cancel, 2 submit
   id @1 :Text;
   invalid @2 :Text;       # submit: why the body is not valid; asked only for known ids
   job @3 :Job;
 }
 
-struct UserReply {
+struct UserResponse {
   status @0 :UInt16;
   state @1 :UInt8;
   done @2 :UInt32;
@@ -99,7 +99,7 @@
   graceS @3 :Float64;
 }
 
-struct ReportReply {
+struct ReportResponse {
   status @0 :UInt16;
   token @1 :UInt64;
   reportTo @2 :Text;
--- a/src/wire/mesh_codec.cc
+++ b/src/wire/mesh_codec.cc
@@ -16,7 +16,7 @@
 
 void Put(const JobSpec& j, mesh::Job::Builder b) {
   b.setId(Txt(j.id));
-  b.setKlass(Txt(j.klass));
+  b.setJobClass(Txt(j.job_class));
   b.setTeam(Txt(j.team));
   b.setService(j.service);
   b.setGang(j.gang);
@@ -44,7 +44,7 @@
 
 void Get(mesh::Job::Reader r, JobSpec* j) {
   j->id = Str(r.getId());
-  j->klass = Str(r.getKlass());
+  j->job_class = Str(r.getJobClass());
   j->team = Str(r.getTeam());
   j->service = r.getService();
   j->gang = r.getGang();
@@ -85,15 +85,15 @@
     auto list = b.initReaches(static_cast<unsigned>(p.reaches.size()));
     for (unsigned i = 0; i < list.size(); ++i) list.set(i, Txt(p.reaches[i]));
   }
-  void operator()(const UserAsk& a) {
-    auto b = f.initUserAsk();
+  void operator()(const UserRequest& a) {
+    auto b = f.initUserRequest();
     b.setOp(static_cast<uint8_t>(a.op));
     b.setId(Txt(a.id));
     b.setInvalid(Txt(a.invalid));
     if (a.op == UserOp::kSubmit && a.invalid.empty()) Put(a.job, b.initJob());
   }
-  void operator()(const UserReply& r) {
-    auto b = f.initUserReply();
+  void operator()(const UserResponse& r) {
+    auto b = f.initUserResponse();
     b.setStatus(static_cast<uint16_t>(r.status));
     b.setState(static_cast<uint8_t>(r.state));
     b.setDone(r.done);
@@ -122,8 +122,8 @@
       list[i].setSaved(t.saved);
     }
   }
-  void operator()(const ReportReply& r) {
-    auto b = f.initReportReply();
+  void operator()(const ReportResponse& r) {
+    auto b = f.initReportResponse();
     b.setStatus(static_cast<uint16_t>(r.status));
     b.setToken(r.token);
     b.setReportTo(Txt(r.report_to));
@@ -159,9 +159,9 @@
       out->body = std::move(p);
       break;
     }
-    case mesh::Frame::USER_ASK: {
-      auto r = f.getUserAsk();
-      UserAsk a;
+    case mesh::Frame::USER_REQUEST: {
+      auto r = f.getUserRequest();
+      UserRequest a;
       a.op = static_cast<UserOp>(r.getOp() > 2 ? 0 : r.getOp());
       a.id = Str(r.getId());
       a.invalid = Str(r.getInvalid());
@@ -169,9 +169,9 @@
       out->body = std::move(a);
       break;
     }
-    case mesh::Frame::USER_REPLY: {
-      auto r = f.getUserReply();
-      UserReply u;
+    case mesh::Frame::USER_RESPONSE: {
+      auto r = f.getUserResponse();
+      UserResponse u;
       u.status = r.getStatus();
       u.state = static_cast<JobState>(r.getState() & 3);
       u.done = r.getDone();
@@ -205,9 +205,9 @@
       out->body = std::move(p);
       break;
     }
-    case mesh::Frame::REPORT_REPLY: {
-      auto r = f.getReportReply();
-      ReportReply p;
+    case mesh::Frame::REPORT_RESPONSE: {
+      auto r = f.getReportResponse();
+      ReportResponse p;
       p.status = r.getStatus();
       p.token = r.getToken();
       p.report_to = Str(r.getReportTo());
--- a/src/wire/mesh_codec.h
+++ b/src/wire/mesh_codec.h
@@ -27,7 +27,7 @@
   uint64_t id = 0;
   std::string target;
   uint8_t hops = 0;
-  std::variant<std::monostate, MeshPing, UserAsk, UserReply, Report, ReportReply> body;
+  std::variant<std::monostate, MeshPing, UserRequest, UserResponse, Report, ReportResponse> body;
 };
 
 constexpr size_t kMaxFrame = 4 << 20;
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -13,7 +13,7 @@
 
 struct JobSpec {
   std::string id;
-  std::string klass;
+  std::string job_class;
   std::string team;
   bool service = false;
   bool gang = false;  // all its tasks run at the same time
@@ -88,7 +88,7 @@
 };
 
 // Answer to a worker's report.
-struct ReportReply {
+struct ReportResponse {
   int status = 503;
   uint64_t token = 0;
   std::string report_to;  // with 421
@@ -97,14 +97,14 @@
 
 enum class UserOp : uint8_t { kGet = 0, kCancel = 1, kSubmit = 2 };
 
-struct UserAsk {
+struct UserRequest {
   UserOp op = UserOp::kGet;
   std::string id;
   std::string invalid;  // submit: why the body is no valid job; empty when it is
   JobSpec job;
 };
 
-struct UserReply {
+struct UserResponse {
   int status = 503;
   JobState state = JobState::kPending;
   uint32_t done = 0;
--- a/src/wire/worker_codec.cc
+++ b/src/wire/worker_codec.cc
@@ -93,7 +93,7 @@
   return true;
 }
 
-std::string EncodeReportReply(const ReportReply& reply) {
+std::string EncodeReportResponse(const ReportResponse& reply) {
   rapidjson::StringBuffer buffer;
   JsonWriter w(buffer);
   w.StartObject();
--- a/src/wire/worker_codec.h
+++ b/src/wire/worker_codec.h
@@ -10,7 +10,7 @@
 namespace deckhall {
 
 bool DecodeReport(std::string_view body, Report* report);
-std::string EncodeReportReply(const ReportReply& reply);
+std::string EncodeReportResponse(const ReportResponse& reply);
 std::string EncodeCommands(uint64_t token, uint64_t session, const std::vector<Command>& commands);
 
 }  // namespace deckhall
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -538,7 +538,7 @@
     for (const Report& r : sent) {
       for (const auto& shell : shells_) {
         if (!shell) continue;
-        OnNode(shell, [shell, r] { shell->controller->CheckIn(r, [](const ReportReply&) {}); });
+        OnNode(shell, [shell, r] { shell->controller->CheckIn(r, [](const ReportResponse&) {}); });
       }
     }
   });
@@ -663,17 +663,18 @@
   });
   Carry(name, shell->name, [this, shell, name, number, sent, report = w.report] {
     OnNode(shell, [this, shell, name, number, sent, report] {
-      shell->controller->CheckIn(report, [this, shell, name, number, sent](const ReportReply& r) {
-        Carry(shell->name, name, [this, name, number, sent, answered = clock_.now, r] {
-          Reported(name, number, sent, answered, r);
-        });
-      });
+      shell->controller->CheckIn(
+          report, [this, shell, name, number, sent](const ReportResponse& r) {
+            Carry(shell->name, name, [this, name, number, sent, answered = clock_.now, r] {
+              Reported(name, number, sent, answered, r);
+            });
+          });
     });
   });
 }
 
 void Cluster::Reported(const std::string& name, uint64_t number, double sent, double answered,
-                       const ReportReply& r) {
+                       const ReportResponse& r) {
   SimWorker& w = workers[name];
   if (w.gone || !w.waiting || w.asked != number || clock_.now < w.deaf_until ||
       clock_.now < w.hangs_until) {
@@ -698,15 +699,15 @@
   Execute(&w, answered, r.token, r.commands);
 }
 
-void Cluster::Ask(UserOp op, const std::string& id, std::function<void(const UserReply&)> done) {
+void Cluster::Ask(UserOp op, const std::string& id, std::function<void(const UserResponse&)> done) {
   auto settled = std::make_shared<bool>(false);
-  auto answer = [this, op, id, settled, done, asked = clock_.now](const UserReply& r) {
+  auto answer = [this, op, id, settled, done, asked = clock_.now](const UserResponse& r) {
     if (std::exchange(*settled, true)) return;
     if (r.status == 200 && r.state == JobState::kDone) over_.insert(id);
     oracle->Told(clock_.now, asked, op, id, r);
     done(r);
   };
-  UserReply none;
+  UserResponse none;
   none.status = 0;
   After(op == UserOp::kGet ? kPollTimeout : kAskTimeout, [answer, none] { answer(none); });
   std::vector<std::shared_ptr<Shell>> up;
@@ -715,13 +716,13 @@
   }
   if (up.empty()) return;
   auto shell = up[std::uniform_int_distribution<size_t>(0, up.size() - 1)(random_)];
-  UserAsk ask;
+  UserRequest ask;
   ask.op = op;
   ask.id = id;
   if (op == UserOp::kSubmit) ask.job = specs_.at(id);
   Carry("users", shell->name, [this, shell, ask, answer] {
     OnNode(shell, [this, shell, ask, answer] {
-      shell->controller->User(ask, [this, shell, answer](const UserReply& r) {
+      shell->controller->User(ask, [this, shell, answer](const UserResponse& r) {
         Carry(shell->name, "users", [answer, r] { answer(r); });
       });
     });
@@ -731,7 +732,7 @@
 void Cluster::Submit(const JobSpec& spec) {
   specs_[spec.id] = spec;
   oracle->Asked(spec);
-  Ask(UserOp::kSubmit, spec.id, [this, spec](const UserReply& r) {
+  Ask(UserOp::kSubmit, spec.id, [this, spec](const UserResponse& r) {
     if (r.status == 200 || r.status == 201) {
       if (accepted_.insert(spec.id).second) Poll(spec.id);
     } else if (r.status != 400 && r.status != 422) {
@@ -742,7 +743,7 @@
 
 void Cluster::Cancel(const std::string& id) {
   oracle->CancelAsked(id);
-  Ask(UserOp::kCancel, id, [this, id](const UserReply& r) {
+  Ask(UserOp::kCancel, id, [this, id](const UserResponse& r) {
     if (r.status == 200) {
       if (r.state == JobState::kCancelled) cancelled_.insert(id);
     } else if (r.status != 404) {
@@ -752,18 +753,18 @@
 }
 
 void Cluster::AskOnce(UserOp op, const std::string& id) {
-  Ask(op, id, [](const UserReply&) {});
+  Ask(op, id, [](const UserResponse&) {});
 }
 
 void Cluster::SubmitHopeless(const std::string& id) {
   JobSpec spec = Array(id, 1, cloud_.types[0].cores + 1);
   specs_[id] = spec;
   oracle->AskedHopeless(id);
-  Ask(UserOp::kSubmit, id, [](const UserReply&) {});
+  Ask(UserOp::kSubmit, id, [](const UserResponse&) {});
 }
 
 void Cluster::Poll(const std::string& id) {
-  Ask(UserOp::kGet, id, [](const UserReply&) {});
+  Ask(UserOp::kGet, id, [](const UserResponse&) {});
   std::uniform_real_distribution<double> jitter(0.8, 1.2);
   After(kPollEvery * jitter(random_), [this, id] { Poll(id); });
 }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -149,7 +149,7 @@
   void WorkerTick(const std::string& name);
   void SendReport(const std::string& name);
   void Reported(const std::string& name, uint64_t number, double sent, double answered,
-                const ReportReply& r);
+                const ReportResponse& r);
   void NextNode(SimWorker* w, double after_s);
   void CheckLease(SimWorker* w);
   void Execute(SimWorker* w, double commanded_at, uint64_t token,
@@ -158,7 +158,7 @@
   void EndTask(SimWorker* w, TaskReport* t, ExitWhy why);
   double Used(const SimWorker& w) const;
   void Poll(const std::string& id);
-  void Ask(UserOp op, const std::string& id, std::function<void(const UserReply&)> done);
+  void Ask(UserOp op, const std::string& id, std::function<void(const UserResponse&)> done);
   void Watch();
 
   FakeClock clock_;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -125,7 +125,7 @@
   EXPECT_EQ(w.won, 2);
 }
 
-// What a restarted process may say of terms: see Quiet.
+// What a restarted process may say of terms: see TermFreshness.
 TEST(Election, TellsWhatTheStateServiceShowsOfTerms) {
   ElectionWorld w;
   uint64_t known = 0;
@@ -151,11 +151,12 @@
   w.state.committed.clear();
   int accepted = 0;
   for (int i = 0; i < 100; ++i) {
-    UserAsk ask;
+    UserRequest ask;
     ask.op = UserOp::kSubmit;
     ask.id = "job-" + std::to_string(i);
     ask.job = w.Array(ask.id, 3);
-    w.leader->User(ask, [&accepted](const UserReply& r) { accepted += r.status == 201 ? 1 : 0; });
+    w.leader->User(ask,
+                   [&accepted](const UserResponse& r) { accepted += r.status == 201 ? 1 : 0; });
   }
   w.Settle();
   EXPECT_EQ(accepted, 100);
@@ -175,14 +176,14 @@
   state.keys["leader"] = {"{}", 1, 0};
   RowStore store(&state, &clock, StoreLimits(), "leader", 1);
   const RowId first = store.Add("{\"a\":1}", 20, true);
-  store.Pump();  // its answer waits in the queue
+  store.Flush();  // its answer waits in the queue
   const RowId second = store.Add("{\"b\":2}", 20, true);
-  store.Pump();
+  store.Flush();
   ASSERT_EQ(state.committed.size(), 2U);
   EXPECT_FALSE(store.Durable(first));
   // The same row again while it is on its way: that waits for the answer.
   store.Set(first, "{\"a\":3}", 20, true);
-  store.Pump();
+  store.Flush();
   EXPECT_EQ(state.committed.size(), 2U);
   state.Run();
   EXPECT_TRUE(store.Durable(first));
@@ -205,7 +206,7 @@
   store.Load([](bool, const auto&) {});
   state.Run();
   const RowId row = store.Add(std::string(40, '7'), 45, true);
-  store.Pump();
+  store.Flush();
   state.Run();
   EXPECT_TRUE(store.Durable(row));
   EXPECT_EQ(state.keys["deckhall/pages/000002"].value, R"([{"a":2}])");
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -319,7 +319,7 @@
 inline JobSpec ArraySpec(const std::string& id, uint32_t tasks, double cores) {
   JobSpec s;
   s.id = id;
-  s.klass = "sums";
+  s.job_class = "sums";
   s.team = "blue";
   s.tasks = tasks;
   s.cores = cores;
@@ -332,7 +332,7 @@
 
 inline JobSpec ServiceSpec(const std::string& id, uint32_t tasks, double cores) {
   JobSpec s = ArraySpec(id, tasks, cores);
-  s.klass = "live";
+  s.job_class = "live";
   s.service = true;
   s.priority = Priority::kProduction;
   s.estimate_s = 0;
@@ -365,9 +365,9 @@
   std::unique_ptr<Leader> leader;
   std::vector<std::unique_ptr<Leader>> former;
   bool deposed = false;
-  double quiet_since = -1;    // see LeaderPorts
-  std::string lead_doubtful;  // zone to which the way is blocked
-  std::string former_site;    // of whoever led before
+  double no_later_term_since = -1;  // see LeaderPorts
+  std::string lead_doubtful;        // zone to which the way is blocked
+  std::string former_leader_zone;   // of whoever led before
 
   World() {
     lease.clock = &clock;
@@ -388,8 +388,10 @@
     ++state.revision;
     state.keys["leader"] = {"{}", state.revision, 0};
     lease.until = 1e12;
-    LeaderPorts ports{&state, &cloud, &workers, &clock, &lease, nullptr, nullptr, former_site};
-    if (quiet_since >= 0) ports.quiet_since = [this](uint64_t) { return quiet_since; };
+    LeaderPorts ports{&state, &cloud,  &workers, &clock,
+                      &lease, nullptr, nullptr,  former_leader_zone};
+    if (no_later_term_since >= 0)
+      ports.no_later_term_since = [this](uint64_t) { return no_later_term_since; };
     ports.doubtful = [this](const std::string& zone) { return zone == lead_doubtful; };
     leader = std::make_unique<Leader>(ports, &settings, &tuning, "leader", state.revision);
     leader->on_deposed = [this](const char*) { deposed = true; };
@@ -418,7 +420,7 @@
   void ReportNow(FakeWorker* w) {
     if (w->silent || w->report.machine.empty()) return;
     ++w->report.seq;
-    const ReportReply reply = leader->OnReport(w->report);
+    const ReportResponse reply = leader->OnReport(w->report);
     if (reply.status == 200 && reply.token >= w->report.token && !w->deaf) {
       w->Execute(reply.token, reply.commands);
     }
@@ -443,20 +445,20 @@
   JobSpec Service(const std::string& id, uint32_t tasks, double cores = 2) {
     return ServiceSpec(id, tasks, cores);
   }
-  UserReply Ask(UserOp op, const std::string& id, const JobSpec* spec = nullptr,
-                const std::string& invalid = "") {
-    UserAsk ask;
+  UserResponse Ask(UserOp op, const std::string& id, const JobSpec* spec = nullptr,
+                   const std::string& invalid = "") {
+    UserRequest ask;
     ask.op = op;
     ask.id = id;
     ask.invalid = invalid;
     if (spec != nullptr) ask.job = *spec;
-    auto out = std::make_shared<UserReply>();
+    auto out = std::make_shared<UserResponse>();
     out->status = 0;
-    leader->User(ask, [out](const UserReply& r) { *out = r; });
+    leader->User(ask, [out](const UserResponse& r) { *out = r; });
     Settle();
     return *out;
   }
-  UserReply Submit(const JobSpec& spec) { return Ask(UserOp::kSubmit, spec.id, &spec); }
+  UserResponse Submit(const JobSpec& spec) { return Ask(UserOp::kSubmit, spec.id, &spec); }
 };
 
 }  // namespace deckhall
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -83,7 +83,7 @@
   w.Pass(1);
   m.End("job-1/0", ExitWhy::kDone);
   w.Pass(1);
-  const UserReply again = w.Ask(UserOp::kSubmit, "job-1", nullptr, "missing or invalid: cores");
+  const UserResponse again = w.Ask(UserOp::kSubmit, "job-1", nullptr, "missing or invalid: cores");
   EXPECT_EQ(again.status, 200);
   EXPECT_EQ(again.state, JobState::kDone);
   EXPECT_EQ(w.Ask(UserOp::kSubmit, "job-2", nullptr, "missing or invalid: cores").status, 400);
@@ -148,8 +148,8 @@
   EXPECT_EQ(w.leader->OnReport(m.report).status, 200);
   // What it renewed last is gone before a cancellation that another one told meanwhile
   // runs out of time.
-  EXPECT_LT(HoldSeconds(w.settings) + w.settings.lease_s, w.settings.cancel_s);
-  w.clock.now += HoldSeconds(w.settings) + 1;
+  EXPECT_LT(GracePeriodSeconds(w.settings) + w.settings.lease_s, w.settings.cancel_s);
+  w.clock.now += GracePeriodSeconds(w.settings) + 1;
   ++m.report.seq;
   EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
 }
@@ -189,15 +189,15 @@
 
 TEST(Leader, AnOutageThatReachesEverybodyDoesNotEndTheHold) {
   World w;
-  w.quiet_since = 0;
+  w.no_later_term_since = 0;
   w.Lead();
   auto& m = w.Machine("m-1", "east");
   w.lease.until = w.clock.now - 0.1;
-  w.clock.now += HoldSeconds(w.settings) * 3;
-  w.quiet_since = w.clock.now - 1;  // the others know of no later term
+  w.clock.now += GracePeriodSeconds(w.settings) * 3;
+  w.no_later_term_since = w.clock.now - 1;  // the others know of no later term
   ++m.report.seq;
   EXPECT_EQ(w.leader->OnReport(m.report).status, 200);
-  w.quiet_since = w.clock.now - HoldSeconds(w.settings) - 1;
+  w.no_later_term_since = w.clock.now - GracePeriodSeconds(w.settings) - 1;
   ++m.report.seq;
   EXPECT_EQ(w.leader->OnReport(m.report).status, 503);
 }
@@ -230,7 +230,7 @@
   auto& b = w.Machine("m-2", "east");
   // What the former leader may have answered until the end of its hold lives on
   // for a lease.
-  w.Pass(HoldSeconds(w.settings) + w.settings.lease_s - 2);
+  w.Pass(GracePeriodSeconds(w.settings) + w.settings.lease_s - 2);
   EXPECT_FALSE(b.Has("job-1/0"));
   // New jobs don't wait for this.
   w.Submit(w.Service("job-2", 1));
@@ -359,7 +359,7 @@
   w.settings.mem_mb = 0.1;  // some ten jobs, some four hundred tasks
   w.Lead();
   EXPECT_EQ(w.Submit(w.Array("job-1", 300)).status, 201);
-  const UserReply tasks = w.Submit(w.Array("job-2", 200));
+  const UserResponse tasks = w.Submit(w.Array("job-2", 200));
   EXPECT_EQ(tasks.status, 503);
   EXPECT_GT(tasks.retry_after_s, 0);
   int accepted = 0;
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -461,11 +461,11 @@
     const double rate = QuestionsPerSecond(c->settings, c->tuning);
     size_t answered = 0;
     size_t refused = 0;
-    UserAsk ask;
+    UserRequest ask;
     ask.op = UserOp::kGet;
     ask.id = "job-1";
     for (double i = 0; i < rate * 3; ++i) {
-      c->node(node)->User(ask, [&](const UserReply& r) {
+      c->node(node)->User(ask, [&](const UserResponse& r) {
         EXPECT_TRUE(r.status == 200 || r.retry_after_s > 0);
         ++(r.status == 200 ? answered : refused);
       });
--- a/tests/oracle.cc
+++ b/tests/oracle.cc
@@ -26,7 +26,7 @@
 }
 
 void Oracle::Told(double now, double asked_at, UserOp op, const std::string& id,
-                  const UserReply& r) {
+                  const UserResponse& r) {
   auto it = jobs_.find(id);
   const bool known = it != jobs_.end() && it->second.spec.has_value();
   if (!known) {
--- a/tests/oracle_test.cc
+++ b/tests/oracle_test.cc
@@ -20,8 +20,8 @@
   return {machine, "box", zone, false, 8, 64};
 }
 
-UserReply Reply(int status, JobState state = JobState::kPending) {
-  UserReply r;
+UserResponse Reply(int status, JobState state = JobState::kPending) {
+  UserResponse r;
   r.status = status;
   r.state = state;
   return r;
--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -3,7 +3,7 @@
 
 #include "app/health.h"
 #include "fakes.h"
-#include "mesh/quiet.h"
+#include "mesh/term_freshness.h"
 
 namespace deckhall {
 namespace {
@@ -194,9 +194,9 @@
   TwoZones w;
   w.Fill(16);
   w.Cut(&w.east, true);
-  w.former_site = "east";
+  w.former_leader_zone = "east";
   w.Lead();
-  w.Pass(HoldSeconds(w.settings) + w.settings.lease_s - 3);
+  w.Pass(GracePeriodSeconds(w.settings) + w.settings.lease_s - 3);
   EXPECT_TRUE(w.cloud.returned.empty());
   EXPECT_EQ(w.In(w.west), 8U);
 }
@@ -337,7 +337,7 @@
   EXPECT_TRUE(a.Has("job-1/0"));
 }
 
-TEST(Odd, WhatCanNotBeIsCountedAndChangesNothing) {
+TEST(ImplausibleReport, WhatCanNotBeIsCountedAndChangesNothing) {
   World w;
   w.cloud.refuse = true;
   w.Lead();
@@ -355,7 +355,7 @@
   w.leader->OnReport(odd);
   w.Pass(1);
   EXPECT_EQ(a.started.size(), 1U);
-  EXPECT_EQ(w.leader->odd(), 2U);
+  EXPECT_EQ(w.leader->implausible_reports(), 2U);
   w.lease.until = w.clock.now - 1;
   odd.token = (w.leader->term() + 1) << kTermShift;
   w.leader->OnReport(odd);
@@ -382,7 +382,7 @@
 }
 
 TEST(Restart, TheWordOfAProcessThatHasNotAskedTheStateServiceDoesNotProlongAHold) {
-  Quiet quiet(2);
+  TermFreshness quiet(2);
   quiet.Heard(0, 10, true);
   quiet.Heard(1, 10, true);
   EXPECT_EQ(quiet.Since(11), 10);
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -169,7 +169,7 @@
   MeshFrame frame;
   frame.id = 7;
   frame.target = "n1";
-  UserAsk ask;
+  UserRequest ask;
   ask.op = UserOp::kSubmit;
   ask.id = "job-000412";
   ASSERT_EQ(ParseJob(kJob, &ask.id, &ask.job), "");
@@ -178,7 +178,7 @@
   EncodeFrame(frame, &bytes);
   MeshFrame out;
   ASSERT_TRUE(DecodeFrame(std::string_view(bytes).substr(4), &out));
-  EXPECT_EQ(std::get<UserAsk>(out.body).job.types, ask.job.types);
+  EXPECT_EQ(std::get<UserRequest>(out.body).job.types, ask.job.types);
   EXPECT_FALSE(DecodeFrame("", &out));
   EXPECT_FALSE(DecodeFrame("1234567", &out));
   for (size_t i = 0; i + 4 < bytes.size(); ++i) {
