--- a/src/app/tuning.cc
+++ b/src/app/tuning.cc
@@ -28,8 +28,10 @@
     char* end = nullptr;
     const double v = std::strtod(text.c_str(), &end);
     if (text.empty() || *end != '\0' || !std::isfinite(v) || v < f.least || v > f.most) {
-      return section + " " + name + ": not a number from " + std::to_string(f.least) + " to " +
-             std::to_string(f.most);
+      std::string reason = section;
+      reason.append(" ").append(name).append(": not a number from ");
+      reason.append(std::to_string(f.least)).append(" to ").append(std::to_string(f.most));
+      return reason;
     }
     out->*(f.member) = v;
     return "";
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -99,7 +99,7 @@
   m.used_gpus += slot.gpus;
   m.used_memory += slot.memory_gb;
   if (slot.service) m.service_cores += slot.cores;
-  if (slot.lodger) m.lodger_cores += slot.cores;
+  if (slot.lodger) m.lent_cores += slot.cores;
   m.slots.push_back(std::move(slot));
   Changed(mi);
   return m.slots.back();
@@ -114,10 +114,10 @@
   m.used_gpus -= slot->gpus;
   m.used_memory -= slot->memory_gb;
   if (slot->service) m.service_cores -= slot->cores;
-  if (slot->lodger) m.lodger_cores -= slot->cores;
+  if (slot->lodger) m.lent_cores -= slot->cores;
   if (m.busy == 0) {
     // Sums of decimal amounts end at nothing, not beside it.
-    m.used_cores = m.used_gpus = m.used_memory = m.service_cores = m.lodger_cores = 0;
+    m.used_cores = m.used_gpus = m.used_memory = m.service_cores = m.lent_cores = 0;
   }
   if (slot->job != kNone) {
     Job& job = (*book_)[slot->job];
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -133,50 +133,60 @@
   std::string endpoint;
   uint32_t type = kNone;
   uint32_t zone = kNone;
-  bool spot = false;
   RowId row = kNoRow;
+
+  // What it is and does, as flags.
+  bool spot = false;
   bool up = false;         // has reported
   bool accounted = false;  // nothing unknown can be on it
   bool may_hold = false;   // an earlier leader may have started tasks on it
   bool gone = false;
   bool returning = false;
   bool return_sent = false;
-  bool drain = false;     // takes no new tasks
-  bool emptying = false;  // its replicas move elsewhere, then it goes back
-  double emptying_since = 0;
-  double moved_at = -1e9;  // last replica told to move
+  bool drain = false;           // takes no new tasks
+  bool emptying = false;        // its replicas move elsewhere, then it goes back
+  bool listed = false;          // the state service, the cloud or a rental named it
+  bool suspect = false;         // said something that does not fit: ask it soon
+  bool taking_back = false;     // unanswered_since is being withdrawn
+  bool cut = false;             // silent in a zone that is cut off: rather alive than lost
+  bool do_busy = false;         // a direct command is on its way
+  bool probing = false;         // a probe is on its way
+  bool marked_changed = false;  // waits to be looked at, see Fleet::TakeChanged
+  bool stale = true;            // the picture of its free room is out of date
+
+  int fails = 0;  // probes that failed since failing_since
+  int do_fails = 0;
+  int probe_fails = 0;
+  int sick_count = 0;
+  int task_fails = 0;  // since the last success
+
   uint64_t session = 1;
   uint64_t seq = 0;
   uint64_t token = 0;  // the one to give commands with
   uint64_t seen_token = 0;
-  bool listed = false;        // the state service, the cloud or a rental named it
-  double failing_since = -1;  // first question unanswered since it last showed that it hears
-  int fails = 0;              // such questions
+
+  // Times of this controller's steady clock, in seconds.
+  double emptying_since = 0;
+  double moved_at = -1e9;     // last replica told to move
+  double failing_since = -1;  // first probe unanswered since it last showed that it hears
   double hears_at = -1e9;     // it last showed that it hears
-  bool suspect = false;       // said something that does not fit: ask it soon
-  // Wall time since which surely nobody answered its reports; negative: not said. It is
-  // in the row, so that a later leader knows when the lease ends; no report is answered
-  // before it is taken back.
-  double unanswered_since = -1;
-  bool taking_back = false;
-  bool cut = false;     // silent in a zone that is cut off: rather alive than lost
-  double known_at = 0;  // first heard of, in this term
-  double rented_wall = 0;
+  double known_at = 0;        // first heard of, in this term
   double up_at = -1;
   double heard_at = -1e9;     // last report or answer
   double answered_at = -1e9;  // last report we answered with 200
   double notice_until = -1;   // the cloud takes it away
-  bool do_busy = false;
-  double do_after = 0;  // no direct command before
-  int do_fails = 0;
-  bool probing = false;
-  int probe_fails = 0;
+  double do_after = 0;        // no direct command before
   double probe_after = 0;
   double no_room_until = 0;
   double sick_until = 0;
-  int sick_count = 0;
-  int task_fails = 0;  // since the last success
   double idle_since = -1;
+
+  double rented_wall = 0;  // time of day
+  // Time of day since which surely nobody answered its reports; negative: not said. It is
+  // in the row, so that a later leader knows when the lease ends; no report is answered
+  // before it is taken back.
+  double unanswered_since = -1;
+
   std::vector<uint32_t> images;  // likely cached
   std::vector<Slot> slots;
   // Sums over the slots that take room.
@@ -185,9 +195,7 @@
   double used_gpus = 0;
   double used_memory = 0;
   double service_cores = 0;
-  double lodger_cores = 0;
-  bool marked_changed = false;  // waits to be looked at, see Fleet::TakeChanged
-  bool stale = true;            // the picture of its free room is out of date
+  double lent_cores = 0;
 };
 
 }  // namespace deckhall
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -246,7 +246,7 @@
     if (!ordinary && !room.spot) continue;
     ++rooms_->steps;
     if (here && std::find(m.images.begin(), m.images.end(), job.image) == m.images.end()) continue;
-    if (job.spec.service && m.lodger_cores + room.cores + kEps < job.spec.cores) continue;
+    if (job.spec.service && m.lent_cores + room.cores + kEps < job.spec.cores) continue;
     Node node;
     node.cores = room.cores;
     node.gpus = room.gpus;
--- a/src/leader/rooms.cc
+++ b/src/leader/rooms.cc
@@ -98,7 +98,7 @@
     services += m.service_cores;
     if (!n.usable) continue;
     (m.spot ? free_spot_ : free_ordinary_) += std::max(0.0, n.cores);
-    if (!m.spot) lent_reserve_ += m.lodger_cores;
+    if (!m.spot) lent_reserve_ += m.lent_cores;
   }
   capacity_ = std::max(capacity_, 1.0);
   unit_cores_ = unit_memory_ = 0;
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -97,8 +97,9 @@
     auto shell = self.lock();
     auto answer = c->FirstAnswer(shell, timeout, StateAnswer(), done);
     const bool late = txn && c->late_writes > 0 && c->Draw(c->late_writes);
+    const bool unanswered = txn && c->lost_answers > 0 && c->Draw(c->lost_answers);
     Cluster* cluster = c;
-    cluster->Carry(shell->name, "state", [cluster, shell, act, answer, late] {
+    cluster->Carry(shell->name, "state", [cluster, shell, act, answer, late, unanswered] {
       if (cluster->StateRefuses(shell->name)) {
         StateAnswer a;
         a.outcome = StateOutcome::kRefused;
@@ -111,6 +112,7 @@
         return;
       }
       const StateAnswer a = act();
+      if (unanswered) return;
       cluster->After(cluster->slow_state_s, [cluster, shell, answer, a] {
         cluster->Carry("state", shell->name, [answer, a] { answer(a); });
       });
@@ -270,8 +272,8 @@
   Cluster* c;
   std::weak_ptr<Shell> self;
 
-  void Ask(const std::string& endpoint, double timeout, std::function<WorkerAnswer(SimWorker*)> act,
-           Done done) {
+  void Ask(const std::string& endpoint, bool commands, double timeout,
+           std::function<WorkerAnswer(SimWorker*)> act, Done done) {
     auto shell = self.lock();
     WorkerAnswer none;
     none.sent = true;
@@ -293,12 +295,17 @@
       const WorkerAnswer a = act(&w);
       cluster->Carry(name, shell->name, [answer, a] { answer(a); });
     };
+    if (commands && c->late_commands > 0 && c->Draw(c->late_commands)) {
+      std::uniform_real_distribution<double> held_up(2, 16);
+      c->After(held_up(c->random_), [arrive] { (*arrive)(); });
+      return;
+    }
     cluster->Carry(shell->name, name, [arrive] { (*arrive)(); });
   }
   void Do(const std::string& endpoint, uint64_t token, uint64_t session,
           const std::vector<Command>& commands, double timeout, Done done) override {
     Ask(
-        endpoint, timeout,
+        endpoint, true, timeout,
         [c = c, token, session, commands, sent = c->clock_.now](SimWorker* w) {
           WorkerAnswer a;
           a.sent = a.has_report = true;
@@ -313,7 +320,7 @@
   }
   void Inspect(const std::string& endpoint, double timeout, Done done) override {
     Ask(
-        endpoint, timeout,
+        endpoint, false, timeout,
         [](SimWorker* w) {
           WorkerAnswer a;
           a.sent = a.has_report = true;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -104,11 +104,13 @@
 
   Settings settings;
   Tuning tuning;
-  double run_s = 30;        // of an array's task
-  double spread_s = 0;      // added for each further task of a job
-  double delay_s = 0;       // added to every message
-  double late_writes = 0;   // share of transactions that are carried out late, unanswered
-  double slow_state_s = 0;  // added to each answer
+  double run_s = 30;         // of an array's task
+  double spread_s = 0;       // added for each further task of a job
+  double delay_s = 0;        // added to every message
+  double late_writes = 0;    // share of transactions that are carried out late, unanswered
+  double lost_answers = 0;   // share of transactions that are carried out, their answers lost
+  double late_commands = 0;  // share of direct commands held up for seconds, unanswered
+  double slow_state_s = 0;   // added to each answer
   bool cloud_out = false;
   int rentable = 0;  // so many more machines can be had
   std::map<std::string, SimWorker> workers;
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -3,61 +3,11 @@
 // besides is that the meeting took place and that all is served in the end.
 #include <gtest/gtest.h>
 
-#include "cluster.h"
+#include "meeting_support.h"
 
 namespace deckhall {
 namespace {
 
-constexpr uint64_t kSeeds = 6;
-
-Settings Times() {
-  Settings times;
-  times.lease_s = 20;
-  times.cancel_s = 40;
-  return times;
-}
-
-std::unique_ptr<Cluster> Started(uint64_t seed, size_t nodes, int machines) {
-  auto c = std::make_unique<Cluster>(seed, nodes, Times());
-  for (int i = 0; i < machines; ++i) c->AddWorker(i % 2 == 0 ? "east" : "west");
-  EXPECT_TRUE(c->RunUntil([&] { return c->Leader() != SIZE_MAX; }, 20));
-  c->Run(10);
-  return c;
-}
-
-// A small cluster at work: a service, a long array, a leader.
-std::unique_ptr<Cluster> AtWork(uint64_t seed, size_t nodes = 3) {
-  auto c = Started(seed, nodes, 6);
-  c->Submit(c->Service("job-1", 3));
-  c->run_s = 300;
-  c->Submit(c->Array("job-2", 6));
-  EXPECT_TRUE(c->RunUntil([&] { return c->On("job-1") == 3 && c->On("job-2") == 6; }, 30))
-      << c->Broken();
-  c->run_s = 20;
-  return c;
-}
-
-std::string Name(size_t node) { return "n" + std::to_string(node); }
-
-void CutFromPeers(Cluster* c, size_t node, size_t nodes, double for_s, CutMode mode) {
-  for (size_t i = 0; i < nodes; ++i) {
-    if (i != node) c->Cut(Name(node), Name(i), for_s, mode);
-  }
-}
-
-// All that was not cancelled is done, or runs if it is a service.
-void ExpectServed(Cluster* c, const std::vector<std::string>& arrays, double most_s,
-                  uint64_t seed) {
-  const bool done = c->RunUntil(
-      [&] {
-        return std::all_of(arrays.begin(), arrays.end(),
-                           [&](const std::string& id) { return c->ToldDone(id); });
-      },
-      most_s);
-  EXPECT_TRUE(done) << "seed " << seed;
-  EXPECT_EQ(c->Broken(), "") << "seed " << seed;
-}
-
 TEST(Meeting, MoreWorkThanRoomUrgentAndNotOverSlowLinks) {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     auto c = Started(seed, 3, 4);
--- a/tests/mix_test.cc
+++ b/tests/mix_test.cc
@@ -38,6 +38,8 @@
       Trouble();
     }
     c_.late_writes = 0;
+    c_.late_commands = 0;
+    c_.lost_answers = 0;
     c_.slow_state_s = 0;
     c_.cloud_out = false;
     for (size_t i = 0; i < nodes_; ++i) c_.Boot(i);
@@ -110,7 +112,7 @@
     const double for_s = Chance(0.3) ? Between(c_.settings.lease_s, long_s) : Between(0.2, 15);
     const std::string node = Node();
     const size_t at = std::stoul(node.substr(1));
-    const size_t kind = Index(20);
+    const size_t kind = Index(22);
     spdlog::debug("TROUBLE {} kind {} node {} for {} s", c_.now(), kind, node, for_s);
     switch (kind) {
       case 0:
@@ -180,6 +182,12 @@
       case 18:
         c_.CutZone(kZones[Index(3)], for_s, Chance(0.7) ? CutMode::kHold : CutMode::kDrop);
         break;
+      case 20:
+        c_.late_commands = Chance(0.5) ? Between(0.1, 0.6) : 0;
+        break;
+      case 21:
+        c_.lost_answers = Chance(0.5) ? Between(0.05, 0.4) : 0;
+        break;
       case 16:
         for (const auto& [name, w] : c_.workers) {
           if (Chance(0.4)) c_.Mute(name, for_s);
