--- a/src/api/front.cc
+++ b/src/api/front.cc
@@ -8,8 +8,8 @@
 namespace deckhall {
 namespace {
 
-const std::string kJobsPath = "/api/jobs";
-const std::string kCancelEnd = "/cancel";
+constexpr std::string_view kJobsPath = "/api/jobs";
+constexpr std::string_view kCancelEnd = "/cancel";
 
 HttpAnswer Error(int status, const char* why) {
   HttpAnswer a;
@@ -50,7 +50,7 @@
     } else {
       CheckIn(request, reply);
     }
-  } else if (path == kJobsPath || path.compare(0, kJobsPath.size() + 1, kJobsPath + "/") == 0) {
+  } else if (path == kJobsPath || (path.starts_with(kJobsPath) && path[kJobsPath.size()] == '/')) {
     Jobs(request, path, reply);
   } else {
     reply(Error(404, "no such path"));
@@ -77,8 +77,7 @@
   }
   ask.id = path.substr(kJobsPath.size() + 1);
   ask.op = UserOp::kGet;
-  if (ask.id.size() > kCancelEnd.size() &&
-      ask.id.compare(ask.id.size() - kCancelEnd.size(), kCancelEnd.size(), kCancelEnd) == 0) {
+  if (ask.id.size() > kCancelEnd.size() && ask.id.ends_with(kCancelEnd)) {
     ask.id.resize(ask.id.size() - kCancelEnd.size());
     ask.op = UserOp::kCancel;
   }
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -5,12 +5,13 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <string_view>
 #include <utility>
 
 namespace deckhall {
 namespace {
 
-const std::string kPrefix = "deckhall/pages/";
+constexpr std::string_view kPrefix = "deckhall/pages/";
 constexpr size_t kTxnBytes = 56 << 10;
 constexpr int kMostFlights = 4;
 // What is kSoon becomes as urgent as the rest after so many times `soon_s`.
@@ -40,52 +41,53 @@
 }
 
 void RowStore::LoadFrom(const std::string& after, Loaded done) {
-  state_->List(kPrefix, after, [this, done = std::move(done)](const StateAnswer& answer) {
-    if (answer.outcome != StateOutcome::kOk) {
-      done(false, {});
-      return;
-    }
-    for (const KvRow& kv : answer.rows) {
-      rapidjson::Document doc;
-      Page page;
-      page.key = kv.key;
-      page.version = kv.version;
-      // Pages may be missing in between: their transaction was never carried out. A
-      // number taken twice would make two pages overwrite each other.
-      const std::string number = kv.key.substr(kPrefix.size());
-      uint64_t n = 0;
-      std::from_chars(number.data(), number.data() + number.size(), n);
-      next_page_ = std::max(next_page_, n + 1);
-      const auto index = static_cast<uint32_t>(pages_.size());
-      if (ParseJson(kv.value, &doc) && doc.IsArray()) {
-        for (const auto& item : doc.GetArray()) {
-          rapidjson::StringBuffer buffer;
-          JsonWriter w(buffer);
-          item.Accept(w);
-          Row row;
-          row.text.assign(buffer.GetString(), buffer.GetSize());
-          row.reserve = row.text.size() + 1;
-          row.page = index;
-          row.live = true;
-          page.reserved += row.reserve;
-          page.rows.push_back(static_cast<RowId>(rows_.size()));
-          rows_.push_back(std::move(row));
-        }
-      } else {
-        spdlog::error("page {} is unreadable and left alone", kv.key);
-        page.reserved = limits_.value_bytes;
-        ++unreadable_;
-      }
-      pages_.push_back(std::move(page));
-    }
-    if (answer.truncated && !answer.rows.empty()) {
-      LoadFrom(answer.rows.back().key, done);
-      return;
-    }
-    std::vector<std::pair<RowId, std::string>> out;
-    for (RowId i = 0; i < rows_.size(); ++i) out.emplace_back(i, rows_[i].text);
-    done(true, std::move(out));
-  });
+  state_->List(std::string(kPrefix), after,
+               [this, done = std::move(done)](const StateAnswer& answer) {
+                 if (answer.outcome != StateOutcome::kOk) {
+                   done(false, {});
+                   return;
+                 }
+                 for (const KvRow& kv : answer.rows) {
+                   rapidjson::Document doc;
+                   Page page;
+                   page.key = kv.key;
+                   page.version = kv.version;
+                   // Pages may be missing in between: their transaction was never carried out. A
+                   // number taken twice would make two pages overwrite each other.
+                   const std::string number = kv.key.substr(kPrefix.size());
+                   uint64_t n = 0;
+                   std::from_chars(number.data(), number.data() + number.size(), n);
+                   next_page_ = std::max(next_page_, n + 1);
+                   const auto index = static_cast<uint32_t>(pages_.size());
+                   if (ParseJson(kv.value, &doc) && doc.IsArray()) {
+                     for (const auto& item : doc.GetArray()) {
+                       rapidjson::StringBuffer buffer;
+                       JsonWriter w(buffer);
+                       item.Accept(w);
+                       Row row;
+                       row.text.assign(buffer.GetString(), buffer.GetSize());
+                       row.reserve = row.text.size() + 1;
+                       row.page = index;
+                       row.live = true;
+                       page.reserved += row.reserve;
+                       page.rows.push_back(static_cast<RowId>(rows_.size()));
+                       rows_.push_back(std::move(row));
+                     }
+                   } else {
+                     spdlog::error("page {} is unreadable and left alone", kv.key);
+                     page.reserved = limits_.value_bytes;
+                     ++unreadable_;
+                   }
+                   pages_.push_back(std::move(page));
+                 }
+                 if (answer.truncated && !answer.rows.empty()) {
+                   LoadFrom(answer.rows.back().key, done);
+                   return;
+                 }
+                 std::vector<std::pair<RowId, std::string>> out;
+                 for (RowId i = 0; i < rows_.size(); ++i) out.emplace_back(i, rows_[i].text);
+                 done(true, std::move(out));
+               });
 }
 
 uint32_t RowStore::PageFor(size_t bytes) {
@@ -101,7 +103,7 @@
   Page page;
   char name[32];
   std::snprintf(name, sizeof name, "%06llu", static_cast<unsigned long long>(next_page_++));
-  page.key = kPrefix + name;
+  page.key = std::string(kPrefix) + name;
   pages_.push_back(std::move(page));
   return static_cast<uint32_t>(pages_.size() - 1);
 }
@@ -222,6 +224,7 @@
     return a.urgency != b.urgency ? a.urgency > b.urgency : a.since < b.since;
   });
   std::vector<uint32_t> pages;
+  pages.reserve(due.size());
   for (const Due& d : due) pages.push_back(d.page);
   return pages;
 }
@@ -338,7 +341,7 @@
 }
 
 void RowStore::ResolvePages(const std::string& after) {
-  state_->List(kPrefix, after, [this](const StateAnswer& answer) {
+  state_->List(std::string(kPrefix), after, [this](const StateAnswer& answer) {
     if (answer.outcome == StateOutcome::kOk) {
       for (const KvRow& kv : answer.rows) {
         for (Page& p : pages_) {
