--- a/tests/handover_test.cc
+++ b/tests/handover_test.cc
@@ -62,6 +62,36 @@
   }
 }
 
+// The leader ends in the moment in which a user was told something, while most transactions
+// are carried out late: what a former leader sent is void by then.
+TEST(Handover, WhatWasToldOutlivesALeaderThatEndsAtOnce) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto c = AtWork(seed);
+    c->run_s = 300;
+    for (int i = 3; i < 7; ++i) {
+      c->late_writes = 0.6;
+      c->Submit(c->Array(JobName(i), 2, 1));
+      ASSERT_TRUE(c->RunUntil([&] { return c->Accepted(JobName(i)); }, 60)) << "seed " << seed;
+      c->Crash(c->Leader());
+      c->late_writes = 0;
+      EXPECT_TRUE(c->RunUntil([&] { return c->On(JobName(i)) == 2; }, 90))
+          << "seed " << seed << ", job " << i << ", leader " << c->Leader() << ": " << c->Broken();
+      BootAll(c.get());
+      c->Run(5);
+      c->late_writes = 0.6;
+      c->Cancel(JobName(i));
+      ASSERT_TRUE(c->RunUntil([&] { return c->Cancelled(JobName(i)); }, 60)) << "seed " << seed;
+      c->Crash(c->Leader());
+      c->late_writes = 0;
+      c->Run(c->settings.cancel_s);
+      BootAll(c.get());
+      c->Run(5);
+      EXPECT_EQ(c->On(JobName(i)), 0U) << "seed " << seed;
+    }
+    EXPECT_EQ(c->Broken(), "") << "seed " << seed;
+  }
+}
+
 TEST(Handover, AnOldReportReachesEveryControllerAsTheNextOneBegins) {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     auto c = AtWork(seed);
