Tests: one way to start a cluster, name a job and start all processes again

JobName stood in two new files and spelled out in meeting_test.cc; Led was Started with other times; the loop that starts all processes stood six times.

--- a/tests/handover_test.cc
+++ b/tests/handover_test.cc
@@ -8,18 +8,12 @@
 namespace deckhall {
 namespace {
 
-std::string JobName(int i) { return "job-" + std::to_string(i); }
-
-void BootAll(Cluster* c) {
-  for (size_t i = 0; i < 3; ++i) c->Boot(i);
-}
-
 TEST(Handover, OneTaskJobsComeFourASecondAndAQuarterIsCancelled) {
   for (uint64_t seed = 1; seed <= 3; ++seed) {
     auto c = Started(seed, 3, 12);
     c->run_s = 4;
     std::vector<std::string> kept;
-    for (int i = 0; i < 240; ++i) {
+    for (size_t i = 0; i < 240; ++i) {
       c->Submit(c->Array(JobName(i), 1, 1));
       kept.push_back(JobName(i));
       c->Run(0.25);
@@ -45,10 +39,10 @@
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     auto c = Started(seed, 3, 8);
     c->run_s = 300;
-    for (int i = 0; i < 12; ++i) c->Submit(c->Array(JobName(i), 2, 1));
+    for (size_t i = 0; i < 12; ++i) c->Submit(c->Array(JobName(i), 2, 1));
     ASSERT_TRUE(c->RunUntil([&] { return c->On(JobName(11)) == 2; }, 40));
     const size_t leader = c->Leader();
-    for (int i = 0; i < 12; ++i) {
+    for (size_t i = 0; i < 12; ++i) {
       if (i == 4 && seed % 2 == 0) c->Crash(leader);
       if (i == 4 && seed % 2 == 1) c->Freeze(leader, 20);
       c->Cancel(JobName(i));
@@ -57,7 +51,7 @@
     EXPECT_TRUE(c->RunUntil([&] { return c->Cancelled(JobName(11)); }, 10)) << "seed " << seed;
     c->Run(c->settings.cancel_s + 5);
     BootAll(c.get());
-    for (int i = 0; i < 12; ++i) EXPECT_EQ(c->On(JobName(i)), 0U) << "seed " << seed;
+    for (size_t i = 0; i < 12; ++i) EXPECT_EQ(c->On(JobName(i)), 0U) << "seed " << seed;
     EXPECT_EQ(c->Broken(), "") << "seed " << seed;
   }
 }
@@ -68,7 +62,7 @@
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     auto c = AtWork(seed);
     c->run_s = 300;
-    for (int i = 3; i < 7; ++i) {
+    for (size_t i = 3; i < 7; ++i) {
       c->late_writes = 0.6;
       c->Submit(c->Array(JobName(i), 2, 1));
       ASSERT_TRUE(c->RunUntil([&] { return c->Accepted(JobName(i)); }, 60)) << "seed " << seed;
@@ -116,7 +110,7 @@
     auto c = Started(seed, 3, 6);
     c->run_s = 6;
     std::vector<std::string> kept;
-    for (int i = 0; i < 20; ++i) {
+    for (size_t i = 0; i < 20; ++i) {
       const std::string id = JobName(i);
       c->Submit(c->Array(id, 1));
       const bool called_off = i % 3 == 0;
@@ -139,7 +133,7 @@
     c->late_commands = 0.4;
     c->run_s = 15;
     std::vector<std::string> arrays;
-    for (int i = 3; i < 15; ++i) {
+    for (size_t i = 3; i < 15; ++i) {
       arrays.push_back(JobName(i));
       c->Submit(c->Array(arrays.back(), 3));
       c->Run(1);
@@ -169,7 +163,7 @@
     c->slow_state_s = 0.6;
     c->late_writes = 0.2;
     std::vector<std::string> arrays;
-    for (int i = 0; i < 6; ++i) {
+    for (size_t i = 0; i < 6; ++i) {
       arrays.push_back(JobName(i));
       c->Submit(c->Array(arrays.back(), 8, 4));
     }
@@ -193,7 +187,7 @@
     c->lost_answers = 0.3;
     c->run_s = 10;
     std::vector<std::string> arrays;
-    for (int i = 3; i < 15; ++i) {
+    for (size_t i = 3; i < 15; ++i) {
       arrays.push_back(JobName(i));
       c->Submit(c->Array(arrays.back(), 2));
       c->Run(1.5);
--- a/tests/meeting_support.cc
+++ b/tests/meeting_support.cc
@@ -35,6 +35,12 @@
 
 std::string Name(size_t node) { return "n" + std::to_string(node); }
 
+std::string JobName(size_t number) { return "job-" + std::to_string(number); }
+
+void BootAll(Cluster* c, size_t nodes) {
+  for (size_t i = 0; i < nodes; ++i) c->Boot(i);
+}
+
 void CutFromPeers(Cluster* c, size_t node, size_t nodes, double for_s, CutMode mode) {
   for (size_t i = 0; i < nodes; ++i) {
     if (i != node) c->Cut(Name(node), Name(i), for_s, mode);
--- a/tests/meeting_support.h
+++ b/tests/meeting_support.h
@@ -21,6 +21,12 @@
 // The label of a node.
 std::string Name(size_t node);
 
+// The id of a job.
+std::string JobName(size_t number);
+
+// Starts all processes that are down.
+void BootAll(Cluster* c, size_t nodes = 3);
+
 // Cuts the node from all others.
 void CutFromPeers(Cluster* c, size_t node, size_t nodes, double for_s, CutMode mode);
 
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -17,7 +17,7 @@
     std::vector<std::string> arrays;
     c->Submit(c->Service("job-900", 2));
     for (int i = 1; i <= 12; ++i) {
-      JobSpec s = c->Array("job-" + std::to_string(i), 6, i % 3 == 0 ? 4 : 2);
+      JobSpec s = c->Array(JobName(i), 6, i % 3 == 0 ? 4 : 2);
       s.priority = i % 3 == 1   ? Priority::kUrgent
                    : i % 3 == 2 ? Priority::kNormal
                                 : Priority::kIdle;
@@ -35,7 +35,7 @@
     auto c = Started(seed, 3, 4);
     std::vector<std::string> arrays;
     for (int i = 1; i <= 4; ++i) {
-      arrays.push_back("job-" + std::to_string(i));
+      arrays.push_back(JobName(i));
       c->spread_s = 40;  // a later task runs so much longer
       c->run_s = 2;
       c->Submit(c->Array(arrays.back(), 2 + static_cast<uint32_t>(i) % 2));
@@ -116,7 +116,7 @@
     c->run_s = 15;
     std::vector<std::string> arrays;
     for (int i = 1; i <= 6; ++i) {
-      JobSpec s = c->Array("job-" + std::to_string(i), 4);
+      JobSpec s = c->Array(JobName(i), 4);
       s.zone = i % 3 == 0 ? "east" : "";
       s.one_zone = i % 3 == 1;
       s.apart = i % 3 == 2;
@@ -158,7 +158,7 @@
       const size_t leader = c->Leader();
       c->Crash(leader != SIZE_MAX ? leader : static_cast<size_t>(term) % 3);
       c->Run(4);
-      for (size_t i = 0; i < 3; ++i) c->Boot(i);
+      BootAll(c.get());
       c->Run(8);
     }
     ExpectServed(c.get(), {"job-3"}, 120, seed);
@@ -172,7 +172,7 @@
     c->rentable = 20;  // idle machines are given back meanwhile
     c->run_s = 3;
     for (int i = 1; i <= 12; ++i) {
-      const std::string id = "job-" + std::to_string(i);
+      const std::string id = JobName(i);
       c->Submit(c->Array(id, 1));
       ASSERT_TRUE(c->RunUntil([&] { return c->On(id) == 1; }, 90));
       // From well before its end to well after it.
@@ -186,7 +186,7 @@
     c->Run(30);
     EXPECT_EQ(c->Broken(), "") << "seed " << seed;
     for (int i = 1; i <= 12; ++i) {
-      const std::string id = "job-" + std::to_string(i);
+      const std::string id = JobName(i);
       EXPECT_NE(c->ToldDone(id), c->Cancelled(id)) << id;
     }
   }
@@ -228,7 +228,7 @@
     c->Crash(c->Leader());
     for (const auto& [name, w] : c->workers) c->ReplayReports(name, 1.3);
     c->Run(30);
-    for (size_t i = 0; i < 3; ++i) c->Boot(i);
+    BootAll(c.get());
     c->Cancel("job-2");
     for (const auto& [name, w] : c->workers) c->ReplayReports(name, 15);
     c->Run(100);
@@ -247,7 +247,7 @@
     for (size_t i = 0; i < 3; ++i) c->Crash(i);
     c->Run(c->settings.lease_s + 5);
     EXPECT_EQ(c->On("job-1"), 0U);
-    for (size_t i = 0; i < 3; ++i) c->Boot(i);
+    BootAll(c.get());
     ExpectServed(c.get(), {"job-3"}, 90, seed);
     EXPECT_EQ(c->On("job-1"), 3U);
   }
@@ -280,7 +280,7 @@
     c->Run(12);
     c->Cancel("job-2");
     c->Run(20);
-    for (size_t i = 0; i < 3; ++i) c->Boot(i);
+    BootAll(c.get());
     c->Run(90);
     EXPECT_EQ(c->On("job-2"), 0U);
     EXPECT_EQ(c->Broken(), "") << "seed " << seed;
@@ -300,7 +300,7 @@
       } else {
         c->CutOneWay(machine, leader, 4, CutMode::kHold);
       }
-      const std::string id = "job-" + std::to_string(i);
+      const std::string id = JobName(i);
       c->Submit(c->Array(id, 3));
       c->Run(1 + static_cast<double>(seed) / 4);
       if (i % 3 == 0) {
@@ -321,7 +321,7 @@
     c->run_s = 4;
     std::vector<std::string> arrays;
     for (int i = 1; i <= 20; ++i) {
-      const std::string id = "job-" + std::to_string(i);
+      const std::string id = JobName(i);
       c->Submit(c->Array(id, 2));
       if (i % 5 == 0) {
         c->Cancel(id);
@@ -357,7 +357,7 @@
     c->Boot(seed % 3);
     c->Run(20);
     EXPECT_EQ(c->Leader(), seed % 3);
-    for (size_t i = 0; i < 3; ++i) c->Boot(i);
+    BootAll(c.get());
     ExpectServed(c.get(), {"job-3"}, 60, seed);
     EXPECT_EQ(c->On("job-1"), 3U);
   }
--- a/tests/user_requests_test.cc
+++ b/tests/user_requests_test.cc
@@ -2,13 +2,11 @@
 #include <gtest/gtest.h>
 
 #include "app/status_budget.h"
-#include "cluster.h"
+#include "meeting_support.h"
 
 namespace deckhall {
 namespace {
 
-std::string JobName(size_t i) { return "job-" + std::to_string(i); }
-
 // The longest time without an answer of any of `jobs` jobs, all asked about every `every_s`
 // seconds for two minutes, one right after the other and always in the same order.
 double LongestWithoutAnswer(double rate, size_t jobs, double every_s) {
@@ -90,19 +88,11 @@
   return asked;
 }
 
-std::unique_ptr<Cluster> Led(uint64_t seed) {
-  auto c = std::make_unique<Cluster>(seed);
-  for (int i = 0; i < 3; ++i) c->AddWorker("east");
-  EXPECT_TRUE(c->RunUntil([&] { return c->Leader() != SIZE_MAX; }, 20));
-  c->Run(10);
-  return c;
-}
-
 // Found in inc-29c6: a submission that a follower had passed to a leader which then fell
 // silent hung there for 3 s and got 503, though the next leader was there after one.
 TEST(UserRelay, WhatASilentLeaderDoesNotAnswerTheNextOneDoes) {
   for (uint64_t seed = 1; seed <= 8; ++seed) {
-    auto c = Led(seed);
+    auto c = Started(seed, 3, 3);
     const size_t leader = c->Leader();
     c->Freeze(leader, 30);
     std::vector<std::shared_ptr<Asked>> asked;
@@ -121,7 +111,7 @@
 }
 
 TEST(UserRelay, WhenNobodyLeadsTheUserHearsItSoon) {
-  auto c = Led(1);
+  auto c = Started(1, 3, 3);
   const size_t leader = c->Leader();
   c->StateOutage(20);  // nobody can follow
   c->Freeze(leader, 20);
