Reread: one 503 answer, no dead state in the row store and the relay

- Unavailable() in wire/types.h serves leader, controller and relay; it stood three times.
- RowStore::DuePages returns what it found out; most_urgent was never read, and the urgency was worked out twice.
- UserRelay::pending() had no caller; Redirect copies the request, since an answer at once erases the entry while the leader still holds a reference to it; Send's comment says when a local leader decides.

--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -30,14 +30,6 @@
   return o;
 }
 
-UserResponse TooManyStatusRequests() {
-  UserResponse response;
-  response.status = 503;
-  response.error = "too many status requests at once";
-  response.retry_after_s = kStatusRetryAfter;
-  return response;
-}
-
 }  // namespace
 
 double StatusRequestsPerSecond(const Settings& settings, const Tuning& tuning) {
@@ -134,7 +126,7 @@
 void Controller::User(UserRequest request, UserDone done) {
   const bool status = request.op == UserOp::kGet;
   if (status && !AdmitStatusRequest(request.id)) {
-    done(TooManyStatusRequests());
+    done(Unavailable("too many status requests at once", kStatusRetryAfter));
     return;
   }
   auto answered = [this, job = request.id, done = std::move(done)](const UserResponse& response) {
--- a/src/app/user_relay.cc
+++ b/src/app/user_relay.cc
@@ -12,13 +12,7 @@
 
 }  // namespace
 
-UserResponse NoLeaderResponse() {
-  UserResponse response;
-  response.status = 503;
-  response.error = "no leader can be reached";
-  response.retry_after_s = 1;
-  return response;
-}
+UserResponse NoLeaderResponse() { return Unavailable("no leader can be reached"); }
 
 UserRelay::UserRelay(Mesh* mesh, const Clock* clock, ServeHere serve_here)
     : mesh_(mesh), clock_(clock), serve_here_(std::move(serve_here)) {}
@@ -57,14 +51,15 @@
     if (pending.target != leader) elsewhere.push_back(id);
   }
   for (const uint64_t id : elsewhere) {
-    Pending& pending = pending_.at(id);
+    const UserRequest request = pending_.at(id).request;
     const auto done = [this, id](const UserResponse& response) { Finish(id, response); };
-    if (serve_here_(pending.request, done)) {
-      // Late answers to what was sent before are dropped.
-      if (pending_.contains(id)) pending_.at(id).target = leader;
-    } else {
+    if (!serve_here_(request, done)) {
       SendTo(id, leader);
+      continue;
     }
+    // Unless it was answered at once: late answers to what was sent before are dropped.
+    const auto it = pending_.find(id);
+    if (it != pending_.end()) it->second.target = leader;
   }
 }
 
--- a/src/app/user_relay.h
+++ b/src/app/user_relay.h
@@ -23,11 +23,11 @@
 
   UserRelay(Mesh* mesh, const Clock* clock, ServeHere serve_here);
 
-  // Calls `done` once, at the latest after `timeout_s`.
+  // Calls `done` once: at the latest after `timeout_s`, or, if this controller leads by then,
+  // when the leader here has decided.
   void Send(UserRequest request, double timeout_s, Done done);
   // Follows changes of the leader; called often.
   void Tick();
-  size_t pending() const { return pending_.size(); }
 
  private:
   struct Pending {
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -43,14 +43,6 @@
   return o;
 }
 
-UserResponse Unavailable(const char* why) {
-  UserResponse r;
-  r.status = 503;
-  r.error = why;
-  r.retry_after_s = 1;
-  return r;
-}
-
 }  // namespace
 
 double MessagesPerSecond(const Settings& s, const Tuning& t) {
@@ -278,9 +270,7 @@
       return;
     }
     if (const char* full = Full(ask.job)) {
-      r = Unavailable(full);
-      r.retry_after_s = kFullRetry;
-      done(r);
+      done(Unavailable(full, kFullRetry));
       return;
     }
     j = book_.Create(ask.job, ports_.clock->Wall());
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -203,30 +203,21 @@
   return WriteUrgency::kNow;
 }
 
-std::vector<uint32_t> RowStore::DuePages(double now, WriteUrgency* most_urgent) const {
-  struct Due {
-    uint32_t page;
-    WriteUrgency urgency;
-    double since;
-  };
-  std::vector<Due> due;
+std::vector<RowStore::DuePage> RowStore::DuePages(double now) const {
+  std::vector<DuePage> due;
   for (uint32_t i = 0; i < pages_.size(); ++i) {
     const Page& page = pages_[i];
     if (!page.dirty || page.in_flight) continue;
     const WriteUrgency urgency = DueAs(page, now);
-    *most_urgent = std::max(*most_urgent, urgency);
     // Only what is urgent overtakes: the more goes together, the fewer puts.
     const bool waits = now - page.since < limits_.lazy_s || flights_ > 0;
     if (urgency == WriteUrgency::kLazy && waits) continue;
     due.push_back({i, urgency, page.since});
   }
-  std::stable_sort(due.begin(), due.end(), [](const Due& a, const Due& b) {
+  std::stable_sort(due.begin(), due.end(), [](const DuePage& a, const DuePage& b) {
     return a.urgency != b.urgency ? a.urgency > b.urgency : a.since < b.since;
   });
-  std::vector<uint32_t> pages;
-  pages.reserve(due.size());
-  for (const Due& d : due) pages.push_back(d.page);
-  return pages;
+  return due;
 }
 
 bool RowStore::HasRoom(double room, WriteUrgency urgency) const {
@@ -247,18 +238,17 @@
   if (stopped_ || conflict_ || resolving_ || now < retry_at_ || flights_ >= kMostFlights) {
     return false;
   }
-  WriteUrgency most_urgent = WriteUrgency::kLazy;
-  const std::vector<uint32_t> due = DuePages(now, &most_urgent);
+  const std::vector<DuePage> due = DuePages(now);
   if (due.empty()) return false;
   double room = state_->WriteRoom();
   Txn txn;
   txn.conditions.push_back({leader_key_, term_});
   size_t bytes = 200;
   std::vector<uint32_t> sent;
-  for (uint32_t i : due) {
-    Page& p = pages_[i];
+  for (const DuePage& page : due) {
+    Page& p = pages_[page.index];
     if (sent.size() >= limits_.txn_ops) break;
-    if (!HasRoom(room, DueAs(p, now))) break;
+    if (!HasRoom(room, page.urgency)) break;
     size_t total = bytes;
     std::string value = Render(p, &total);
     if (value.size() > limits_.most_bytes) {
@@ -273,7 +263,7 @@
     room -= 1;
     txn.conditions.push_back({p.key, p.version});
     txn.writes.push_back({p.key, std::move(value), 0});
-    sent.push_back(i);
+    sent.push_back(page.index);
     p.dirty = false;
     p.urgency = WriteUrgency::kLazy;
     p.in_flight = true;
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -92,8 +92,13 @@
   void MarkDirty(uint32_t page, WriteUrgency urgency);
   // Whether the page is to be sent now, and how urgently: kLazy while it can wait.
   WriteUrgency DueAs(const Page& page, double now) const;
+  struct DuePage {
+    uint32_t index;
+    WriteUrgency urgency;
+    double since;
+  };
   // The pages to send, the most urgent ones first.
-  std::vector<uint32_t> DuePages(double now, WriteUrgency* most_urgent) const;
+  std::vector<DuePage> DuePages(double now) const;
   // Whether the budget for writes allows one more page of that urgency.
   bool HasRoom(double room, WriteUrgency urgency) const;
   std::string Render(const Page& page, size_t* bytes) const;
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -113,6 +113,15 @@
   int retry_after_s = 0;
 };
 
+// 503: the request can't be served now; the user is told when to come back.
+inline UserResponse Unavailable(const char* why, int retry_after_s = 1) {
+  UserResponse response;
+  response.status = 503;
+  response.error = why;
+  response.retry_after_s = retry_after_s;
+  return response;
+}
+
 struct MachineType {
   std::string name;
   double cores = 0;
