--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 Process::Process(Loop* loop, const Settings& settings, const Tuning& tuning)
-    : state_(loop, &clock_, settings.state, settings.state_rps, settings.state_write_rps),
+    : state_(loop, &clock_, settings.state, settings.state_kept.rps, settings.state_kept.write_rps),
       cloud_(loop, &clock_, settings.cloud, settings.cloud_rps),
       workers_(loop, static_cast<size_t>(WorkerConnections(settings))),
       links_(loop, &clock_, settings.mesh_addr, settings.siblings),
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -38,6 +38,51 @@
   return "";
 }
 
+struct NumberField {
+  const JsonValue* in;
+  const char* name;
+  double* to;
+};
+
+// Reads the limits that the object has; the others stay as they are.
+std::string ReadStateLimits(const JsonValue* o, StateLimits* limits) {
+  double ops = limits->txn_ops;
+  const NumberField fields[] = {{o, "rps", &limits->rps},
+                                {o, "write_rps", &limits->write_rps},
+                                {o, "value_kb", &limits->value_kb},
+                                {o, "txn_ops", &ops}};
+  for (const NumberField& field : fields) {
+    const std::string bad = ReadPositive(field.in, field.name, field.to);
+    if (!bad.empty()) return bad;
+  }
+  limits->txn_ops = static_cast<int>(std::clamp(ops, 1.0, 10000.0));
+  return "";
+}
+
+StateLimits SmallerOf(const StateLimits& a, const StateLimits& b) {
+  StateLimits smaller;
+  smaller.rps = std::min(a.rps, b.rps);
+  smaller.write_rps = std::min(a.write_rps, b.write_rps);
+  smaller.value_kb = std::min(a.value_kb, b.value_kb);
+  smaller.txn_ops = std::min(a.txn_ops, b.txn_ops);
+  return smaller;
+}
+
+// The limits in force, and the announced ones that come without further notice.
+std::string ReadStateSection(const JsonValue* state, Settings* s) {
+  std::string bad = ReadStateLimits(state, &s->state_now);
+  if (!bad.empty()) return "state." + bad;
+  s->state_kept = s->state_now;
+  const JsonValue* next = state == nullptr ? nullptr : JsonMember(*state, "next");
+  if (next == nullptr) return "";
+  if (!next->IsObject()) return "state.next: not an object";
+  StateLimits announced = s->state_now;
+  bad = ReadStateLimits(next, &announced);
+  if (!bad.empty()) return "state.next." + bad;
+  s->state_kept = SmallerOf(s->state_now, announced);
+  return "";
+}
+
 }  // namespace
 
 std::string ReadSettings(const std::string& text, Settings* s) {
@@ -87,30 +132,24 @@
   const JsonValue* state = JsonMember(*cluster, "state");
   const JsonValue* cloud = JsonMember(*cluster, "cloud");
   const JsonValue* quota = JsonMember(*cluster, "quota");
-  double ops = s->state_txn_ops;
+  bad = ReadStateSection(state, s);
+  if (!bad.empty()) return bad;
   double sockets = s->max_sockets;
-  const struct {
-    const JsonValue* in;
-    const char* name;
-    double* to;
-  } numbers[] = {{workers, "report_s", &s->report_s},
-                 {workers, "lease_s", &s->lease_s},
-                 {workers, "cancel_s", &s->cancel_s},
-                 {state, "rps", &s->state_rps},
-                 {state, "write_rps", &s->state_write_rps},
-                 {state, "value_kb", &s->state_value_kb},
-                 {state, "txn_ops", &ops},
-                 {cloud, "rps", &s->cloud_rps},
-                 {cloud, "list_lag_s", &s->cloud_lag_s},
-                 {quota, "max_sockets", &sockets},
-                 {quota, "cores", &s->cores},
-                 {quota, "mem_mb", &s->mem_mb},
-                 {cluster, "time_bound_ms", &s->time_bound_ms}};
-  for (const auto& n : numbers) {
+  const NumberField numbers[] = {{workers, "report_s", &s->report_s},
+                                 {workers, "lease_s", &s->lease_s},
+                                 {workers, "cancel_s", &s->cancel_s},
+                                 {workers, "gang_wait_s", &s->gang_wait_s},
+                                 {workers, "gang_peer_s", &s->gang_peer_s},
+                                 {cloud, "rps", &s->cloud_rps},
+                                 {cloud, "list_lag_s", &s->cloud_lag_s},
+                                 {quota, "max_sockets", &sockets},
+                                 {quota, "cores", &s->cores},
+                                 {quota, "mem_mb", &s->mem_mb},
+                                 {cluster, "time_bound_ms", &s->time_bound_ms}};
+  for (const NumberField& n : numbers) {
     bad = ReadPositive(n.in, n.name, n.to);
     if (!bad.empty()) return bad;
   }
-  s->state_txn_ops = static_cast<int>(std::clamp(ops, 1.0, 10000.0));
   s->max_sockets = static_cast<int>(std::clamp(sockets, 50.0, 1e6));
   return "";
 }
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -11,6 +11,14 @@
 
 namespace deckhall {
 
+// What the state service allows in a value, a transaction and a second.
+struct StateLimits {
+  double rps = 50;
+  double write_rps = 20;
+  double value_kb = 8;
+  int txn_ops = 12;
+};
+
 struct Settings {
   std::string label;
   std::string site;
@@ -24,10 +32,10 @@
   double report_s = 3;
   double lease_s = 30;
   double cancel_s = 55;
-  double state_rps = 50;
-  double state_write_rps = 20;
-  double state_value_kb = 8;
-  int state_txn_ops = 12;
+  double gang_wait_s = 35;  // a gathering task waits so long for the rest of its gang
+  double gang_peer_s = 8;   // the tasks of a running gang notice a lost one within this time
+  StateLimits state_now;    // in force when the process starts
+  StateLimits state_kept;   // the smaller of those and the announced ones (`state.next`)
   double cloud_rps = 4;
   double cloud_lag_s = 8;
   int max_sockets = 1000;
--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -20,6 +20,7 @@
   double delay_fetches = 1;
   double passed_over_s = 120;
   double preempt_after_s = 3;
+  double gang_reserve_s = 1;
   double long_fetch_s = 1;
   double stop_for_image = 4;
   // fleet
--- a/src/fleet/cache_hints.cc
+++ b/src/fleet/cache_hints.cc
@@ -51,6 +51,13 @@
   }
   loaded_ = {};
   loaded_names_ = {};
+  // What is read is written anew by Save(). Rows made under larger limits go at once:
+  // they may fit no page any more.
+  std::erase_if(loaded_rows_, [this](RowId row) {
+    const bool large = store_->TextBytes(row) > row_bytes_;
+    if (large) store_->Remove(row);
+    return large;
+  });
 }
 
 void CacheHints::SaveNames() {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -360,7 +360,8 @@
     Job& job = (*book_)[slot->job];
     Task& t = job.tasks[slot->task];
     if (slot->why == ExitWhy::kDone && !job.spec.service) {
-      if (t.phase == TaskPhase::kPlaced && (t.machine != mi || t.attempt != slot->attempt)) {
+      if (!job.spec.gang && t.phase == TaskPhase::kPlaced &&
+          (t.machine != mi || t.attempt != slot->attempt)) {
         // Done here while another attempt is wanted elsewhere: that one goes.
         for (Slot& other : machines_[t.machine].slots) {
           if (other.job == slot->job && other.task == slot->task && !other.gone) {
@@ -368,7 +369,13 @@
           }
         }
       }
-      book_->Done(slot->job, slot->task);
+      if (job.spec.gang) {
+        // The tasks of a gang complete together.
+        book_->AllDone(slot->job);
+        UnwantUnseen(slot->job);
+      } else {
+        book_->Done(slot->job, slot->task);
+      }
       if (job.life == JobLife::kLive) {
         if (job.done == job.tasks.size()) {
           const double late = book_->Lateness(slot->job, clock_->Wall());
@@ -424,6 +431,14 @@
   }
 }
 
+void Fleet::UnwantUnseen(JobIdx j) {
+  for (MachIdx m : (*book_)[j].on) {
+    for (Slot& s : machines_[m].slots) {
+      if (s.job == j && !s.gone && !s.seen) Unwant(m, &s, 0);
+    }
+  }
+}
+
 bool Fleet::MayForget(const Slot& s) const {
   if (!s.gone) return false;
   // A finished task is durable before its machine forgets it.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -110,6 +110,8 @@
   void FreeTask(MachIdx m, const Slot& slot);
   void RecountRunning(Slot* slot, bool now_running);
   bool MayForget(const Slot& slot) const;
+  // What was not seen of a job that is done is not to be launched again.
+  void UnwantUnseen(JobIdx job);
   Slot& AddSlot(MachIdx m, Slot slot);
   // The slot takes no room any more.
   void Vacate(MachIdx m, Slot* slot);
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -99,6 +99,11 @@
   double backoff_until = 0;
   double waiting_since = 0;
   double starved_since = 0;  // none of its tasks was placed since; see Ranking
+
+  // Of a gang: its present attempt, see GangKeeper.
+  uint64_t gang_attempt = 0;
+  double gathering_since = 0;
+  bool gang_broken = false;  // a task of the attempt ended or failed: it can't complete
 };
 
 // One attempt that is, may be, or was on a machine until it is cleared there.
--- /dev/null
+++ b/src/leader/gang_keeper.cc
@@ -0,0 +1,137 @@
+#include "leader/gang_keeper.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace deckhall {
+namespace {
+
+// A lost task of a gathering gang is replaced within this time, or the attempt is given up:
+// it holds places meanwhile.
+constexpr double kReplaceWithin = 5;
+// Of the gathering time, what a replacement needs at least to get there.
+constexpr double kLeastToGather = 5;
+// A notice may be half as long as it says.
+constexpr double kSurePartOfNotice = 0.5;
+// Beyond the time to save, so that the stop has reached every task.
+constexpr double kSaveMargin = 1;
+
+}  // namespace
+
+GangKeeper::GangKeeper(JobBook* book, Fleet* fleet, const Ranking* ranking, const Clock* clock,
+                       const Settings* settings)
+    : book_(book), fleet_(fleet), ranking_(ranking), clock_(clock), settings_(settings) {}
+
+void GangKeeper::ForEach(JobIdx j, const Visit& visit) {
+  std::vector<uint32_t> machines = (*book_)[j].on;
+  std::sort(machines.begin(), machines.end());
+  machines.erase(std::unique(machines.begin(), machines.end()), machines.end());
+  for (MachIdx mi : machines) {
+    for (Slot& slot : (*fleet_)[mi].slots) {
+      if (slot.job == j && !slot.gone) visit(mi, &slot);
+    }
+  }
+}
+
+GangKeeper::Attempt GangKeeper::Look(JobIdx j) {
+  Attempt attempt;
+  ForEach(j, [&attempt](MachIdx, Slot* slot) {
+    if (slot->keep) attempt.number = std::max(attempt.number, slot->attempt);
+  });
+  ForEach(j, [&attempt](MachIdx, Slot* slot) {
+    if (slot->attempt != attempt.number) return;
+    attempt.saving = attempt.saving || slot->state == TaskState::kSaving;
+    if (slot->running_since < 0) return;
+    attempt.started = true;
+    attempt.running_since = std::max(attempt.running_since, slot->running_since);
+  });
+  attempt.started = attempt.started || attempt.saving;
+  return attempt;
+}
+
+void GangKeeper::TaskEnded(const Slot& slot) {
+  Job& job = (*book_)[slot.job];
+  if (!job.spec.gang || slot.attempt != job.gang_attempt) return;
+  switch (slot.why) {
+    // Refused before it was there: another machine may take it.
+    case ExitWhy::kNoRoom:
+    case ExitWhy::kInUse:
+    case ExitWhy::kUnknown:
+    case ExitWhy::kDone:
+      return;
+    default:
+      job.gang_broken = true;
+  }
+}
+
+void GangKeeper::Stop(JobIdx j, double grace_s, const char* why) {
+  size_t stopped = 0;
+  ForEach(j, [this, grace_s, &stopped](MachIdx mi, Slot* slot) {
+    if (!slot->keep) return;
+    fleet_->Unwant(mi, slot, grace_s);
+    ++stopped;
+  });
+  if (stopped == 0) return;
+  fleet_->changed = true;
+  spdlog::info("stopping {} tasks of gang {}: {}", stopped, (*book_)[j].id, why);
+}
+
+bool GangKeeper::TooLateToComplete(const Job& job) const {
+  const double now = clock_->Now();
+  return now - job.waiting_since > kReplaceWithin ||
+         now - job.gathering_since > settings_->gang_wait_s - kLeastToGather;
+}
+
+void GangKeeper::Check(JobIdx j) {
+  Job& job = (*book_)[j];
+  const Attempt attempt = Look(j);
+  if (attempt.number == 0) return;
+  if (attempt.number != job.gang_attempt) {
+    // Started by an earlier leader.
+    job.gang_attempt = attempt.number;
+    job.gathering_since = clock_->Now();
+    job.gang_broken = false;
+  }
+  ForEach(j, [this, &attempt](MachIdx mi, Slot* slot) {
+    // What is left of an attempt before never comes together again.
+    if (slot->keep && slot->attempt != attempt.number) fleet_->Unwant(mi, slot, 0);
+  });
+  if (attempt.saving) {
+    // A stop that an earlier leader did not finish: all tasks must be told soon.
+    Stop(j, job.spec.save_s + kSaveMargin, "others of them save already");
+  } else if (job.gang_broken || (attempt.started && !job.waiting.empty())) {
+    // They would notice it later and end all the same.
+    Stop(j, 0, "a task of the gang is gone");
+  } else if (!job.waiting.empty() && TooLateToComplete(job)) {
+    Stop(j, 0, "no room for a lost task in time");
+  }
+}
+
+void GangKeeper::Tick() {
+  for (JobIdx j : book_->live()) {
+    const Job& job = (*book_)[j];
+    if (job.spec.gang && job.placed > 0) Check(j);
+  }
+}
+
+void GangKeeper::MachineTaken(MachIdx mi, Slot* slot, double seconds_left) {
+  const JobIdx j = slot->job;
+  const Job& job = (*book_)[j];
+  const Attempt attempt = Look(j);
+  if (!attempt.started) {
+    // It is replaced while the others gather.
+    fleet_->Unwant(mi, slot, 0);
+    return;
+  }
+  const double sure = seconds_left * kSurePartOfNotice;
+  const double ran = attempt.running_since < 0 ? 0 : clock_->Now() - attempt.running_since;
+  if (ranking_->TaskSeconds(job) - ran < sure) return;
+  const bool saves = job.spec.checkpoint_s > 0 && job.spec.save_s + kSaveMargin < sure &&
+                     job.spec.save_s + kSaveMargin <= settings_->gang_peer_s;
+  // Without time to save the progress since the last checkpoint is lost either way: the
+  // next attempt rather starts now.
+  Stop(j, saves ? job.spec.save_s + kSaveMargin : 0, "the cloud takes one of its machines");
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/gang_keeper.h
@@ -0,0 +1,53 @@
+// Watches over gangs that were placed: one that lost a task after its start, or can't be
+// completed in time, is ended as a whole so that it starts again soon; stops reach all of
+// its tasks or none.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "app/settings.h"
+#include "fleet/fleet.h"
+#include "leader/ranking.h"
+
+namespace deckhall {
+
+class GangKeeper {
+ public:
+  GangKeeper(JobBook* book, Fleet* fleet, const Ranking* ranking, const Clock* clock,
+             const Settings* settings);
+
+  // A task of the gang ended there.
+  void TaskEnded(const Slot& slot);
+  // Looks at all gangs that are on machines.
+  void Tick();
+  // The cloud takes a machine away that holds this task of a gang.
+  void MachineTaken(MachIdx mi, Slot* slot, double seconds_left);
+
+ private:
+  // What is known of the present attempt.
+  struct Attempt {
+    uint64_t number = 0;
+    bool started = false;  // its tasks run, or did
+    bool saving = false;   // some of its tasks were told to stop and save
+    double running_since = -1;
+  };
+
+  using Visit = std::function<void(MachIdx, Slot*)>;
+  // Calls `visit` for each attempt of the job that takes room on a machine.
+  void ForEach(JobIdx j, const Visit& visit);
+  Attempt Look(JobIdx j);
+  void Check(JobIdx j);
+  // A lost task is not replaced any more.
+  bool TooLateToComplete(const Job& job) const;
+  // Stops all of it that is still wanted.
+  void Stop(JobIdx j, double grace_s, const char* why);
+
+  JobBook* book_;
+  Fleet* fleet_;
+  const Ranking* ranking_;
+  const Clock* clock_;
+  const Settings* settings_;
+};
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/leader/gang_placer.cc
@@ -0,0 +1,198 @@
+#include "leader/gang_placer.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace deckhall {
+namespace {
+
+constexpr double kEps = 1e-6;
+// Gangs for which one pass keeps room; the others wait for their turn.
+constexpr int kMostReservations = 8;
+
+}  // namespace
+
+GangPlacer::GangPlacer(JobBook* book, Fleet* fleet, Rooms* rooms, Preemption* preemption,
+                       const Clock* clock, const Tuning* tuning)
+    : book_(book),
+      fleet_(fleet),
+      rooms_(rooms),
+      preemption_(preemption),
+      clock_(clock),
+      tuning_(tuning) {}
+
+void GangPlacer::Place(JobIdx j, const std::vector<uint32_t>& open) {
+  const Job& job = (*book_)[j];
+  if (!job.told || job.waiting.empty() || job.unseen > 0) return;
+  if (clock_->Now() < job.backoff_until) return;
+  if (job.placed > 0) {
+    if (!job.gang_broken) Complete(j, open);
+    return;
+  }
+  // The attempt before is over when its last task is: until then those count on their
+  // machines and in their zones.
+  if (job.on.empty()) Start(j, open);
+}
+
+std::vector<std::vector<char>> GangPlacer::ZoneSets(const Job& job) const {
+  if (!job.spec.one_zone) return {std::vector<char>(book_->zones.size(), 1)};
+  std::vector<std::vector<char>> sets;
+  for (uint32_t zone = 0; zone < book_->zones.size(); ++zone) {
+    if (job.zone != kNone && job.zone != zone) continue;
+    sets.emplace_back(book_->zones.size(), 0);
+    sets.back()[zone] = 1;
+  }
+  return sets;
+}
+
+bool GangPlacer::WithinLimit(const Job& job, size_t tasks) const {
+  const auto n = static_cast<double>(tasks);
+  const Team* team = rooms_->TeamOf(job.team);
+  if (team == nullptr) return false;
+  const Use& use = rooms_->UseOf(job.team);
+  if (team->cores_max > 0 && use.cores + n * job.spec.cores > team->cores_max + kEps) return false;
+  return team->gpus_max <= 0 || use.gpus + n * job.spec.gpus <= team->gpus_max + kEps;
+}
+
+void GangPlacer::TakeOnTrial(const Job& job, uint32_t node) {
+  Node& n = rooms_->nodes()[node];
+  n.cores -= job.spec.cores;
+  n.gpus -= job.spec.gpus;
+  n.memory_gb -= job.spec.memory_gb;
+  n.coming.push_back(job.image);
+}
+
+void GangPlacer::GiveBack(const Job& job, uint32_t node) {
+  Node& n = rooms_->nodes()[node];
+  n.cores += job.spec.cores;
+  n.gpus += job.spec.gpus;
+  n.memory_gb += job.spec.memory_gb;
+  n.coming.pop_back();
+}
+
+bool GangPlacer::Find(const Job& job, const std::vector<char>& zones,
+                      const std::vector<uint32_t>& open, Plan* plan) {
+  const size_t count = job.waiting.size();
+  std::vector<char> allowed = zones;
+  const Need need = rooms_->NeedOf(job, allowed, plan->nodes);
+  Picker picker(&need, &rooms_->nodes(), open);
+  rooms_->steps += open.size();
+  while (plan->nodes.size() < count) {
+    // How the zones may be used changes with each task if they must be apart.
+    if (job.spec.apart && !rooms_->ZoneRoom(job, plan->nodes, &allowed)) break;
+    const int at = picker.Next(true);
+    if (at < 0) break;
+    const auto node = static_cast<uint32_t>(at);
+    plan->last_start = std::max(plan->last_start, picker.cost());
+    plan->cost += picker.cost();
+    plan->nodes.push_back(node);
+    TakeOnTrial(job, node);
+    picker.Again(at);
+  }
+  for (uint32_t node : plan->nodes) GiveBack(job, node);
+  return plan->nodes.size() == count;
+}
+
+void GangPlacer::Put(JobIdx j, uint32_t node) {
+  Job& job = (*book_)[j];
+  fleet_->Place(node, j, job.waiting.back(), job.gang_attempt);
+  rooms_->Take(job, node);
+  (*fleet_)[node].idle_since = -1;
+}
+
+void GangPlacer::Start(JobIdx j, const std::vector<uint32_t>& open) {
+  Job& job = (*book_)[j];
+  if (job.waiting.size() < job.tasks.size() || !WithinLimit(job, job.tasks.size())) return;
+  const std::vector<std::vector<char>> zone_sets = ZoneSets(job);
+  Plan best;
+  for (const std::vector<char>& zones : zone_sets) {
+    Plan plan;
+    if (!Find(job, zones, open, &plan)) continue;
+    // It starts with the last of its tasks.
+    const bool better = best.nodes.empty() || plan.last_start < best.last_start ||
+                        (plan.last_start == best.last_start && plan.cost < best.cost);
+    if (better) best = std::move(plan);
+  }
+  if (best.nodes.empty()) {
+    if (clock_->Now() - job.waiting_since >= tuning_->gang_reserve_s) Reserve(j, zone_sets);
+    return;
+  }
+  // Its tasks find each other by their attempt: one number for all of them.
+  job.gang_attempt = fleet_->NewAttempt();
+  job.gathering_since = clock_->Now();
+  job.gang_broken = false;
+  for (uint32_t node : best.nodes) Put(j, node);
+}
+
+bool GangPlacer::WasThere(JobIdx j, uint32_t task, uint64_t attempt, MachIdx mi) const {
+  const std::vector<Slot>& slots = (*fleet_)[mi].slots;
+  return std::any_of(slots.begin(), slots.end(), [j, task, attempt](const Slot& s) {
+    return s.job == j && s.task == task && s.attempt == attempt;
+  });
+}
+
+void GangPlacer::Complete(JobIdx j, const std::vector<uint32_t>& open) {
+  Job& job = (*book_)[j];
+  if (!WithinLimit(job, job.waiting.size())) return;
+  std::vector<char> zones;
+  std::vector<uint32_t> on = job.on;
+  if (!rooms_->ZoneRoom(job, on, &zones)) return;
+  const Need need = rooms_->NeedOf(job, zones, on);
+  Picker picker(&need, &rooms_->nodes(), open);
+  rooms_->steps += open.size();
+  while (!job.waiting.empty()) {
+    const int at = picker.Next(true);
+    if (at < 0) return;
+    const auto node = static_cast<uint32_t>(at);
+    if (WasThere(j, job.waiting.back(), job.gang_attempt, node)) continue;
+    spdlog::info("{}/{} is replaced on {} while its gang gathers", job.id, job.waiting.back(),
+                 (*fleet_)[node].name);
+    on.push_back(node);
+    Put(j, node);
+    picker.Again(at);
+    if (job.spec.apart && !rooms_->ZoneRoom(job, on, &zones)) return;
+  }
+}
+
+std::vector<MachIdx> GangPlacer::Likely(const Job& job, const std::vector<char>& zones) const {
+  const Need need = rooms_->NeedOf(job, zones, {});
+  const std::vector<Node>& nodes = rooms_->nodes();
+  std::vector<MachIdx> order;
+  for (MachIdx mi : fleet_->active()) {
+    const Node& n = nodes[mi];
+    if (n.usable && Allows(need, n.type, n.zone, n.spot)) order.push_back(mi);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [&nodes](MachIdx a, MachIdx b) { return nodes[a].cores > nodes[b].cores; });
+  double places = 0;
+  size_t used = 0;
+  while (used < order.size() && places < static_cast<double>(job.waiting.size())) {
+    // Arrays' tasks end soon; what services and gangs use stays.
+    const double cores = nodes[order[used]].cores + (*fleet_)[order[used]].lent_cores;
+    places += std::floor(std::max(0.0, cores) / std::max(job.spec.cores, kEps) + kEps);
+    ++used;
+  }
+  if (places < static_cast<double>(job.waiting.size())) return {};
+  order.resize(used);
+  return order;
+}
+
+// Otherwise freed pieces would go to small tasks for ever. Where that makes the whole of it
+// fit, tasks of others are stopped for a gang that may claim their room.
+void GangPlacer::Reserve(JobIdx j, const std::vector<std::vector<char>>& zone_sets) {
+  if (++reservations_ > kMostReservations) return;
+  const Job& job = (*book_)[j];
+  std::vector<MachIdx> machines;
+  if (clock_->Now() - job.waiting_since >= tuning_->preempt_after_s) {
+    machines = preemption_->MakeGangRoom(j, zone_sets);
+  }
+  for (const std::vector<char>& zones : zone_sets) {
+    if (!machines.empty()) break;
+    machines = Likely(job, zones);
+  }
+  for (MachIdx mi : machines) rooms_->nodes()[mi].usable = false;
+}
+
+}  // namespace deckhall
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "state/state_client.h"
+
 namespace deckhall {
 namespace {
 
@@ -22,9 +24,12 @@
 
 StoreLimits LimitsOf(const Settings& s) {
   StoreLimits l;
-  l.most_bytes = static_cast<size_t>(s.state_value_kb * 1024);
-  l.value_bytes = static_cast<size_t>(s.state_value_kb * 1024 * kPageFill);
-  l.txn_ops = static_cast<size_t>(std::max(1, s.state_txn_ops));
+  // What is announced may come at any time: everything is kept within it from the start.
+  l.most_bytes = static_cast<size_t>(s.state_kept.value_kb * 1024);
+  l.value_bytes = static_cast<size_t>(s.state_kept.value_kb * 1024 * kPageFill);
+  l.present_bytes = static_cast<size_t>(s.state_now.value_kb * 1024);
+  l.txn_ops = static_cast<size_t>(std::max(1, s.state_kept.txn_ops));
+  l.write_burst = WriteBurst(s.state_kept.write_rps);
   return l;
 }
 
@@ -69,6 +74,7 @@
       hints_(&store_, &book_, &fleet_, LimitsOf(*settings).value_bytes / 2 - kPageRest),
       rooms_(&book_, &fleet_, &rentals_, &store_, ports.clock, settings, tuning),
       ranking_(&book_, &rooms_, ports.clock, tuning),
+      gangs_(&book_, &fleet_, &ranking_, ports.clock, settings),
       placer_(&book_, &fleet_, &rooms_, &ranking_, &rentals_, ports.clock, tuning),
       planner_(&book_, &fleet_, &rooms_, &ranking_, &rentals_, ports.clock, settings, tuning),
       direct_(MessagesPerSecond(*settings, *tuning) * tuning->direct_share,
@@ -116,6 +122,7 @@
   const double now = ports_.clock->Now();
   book_.FinishLoad(now, ports_.clock->Wall());
   hints_.FinishLoad();
+  store_.SplitLargePages();
   for (JobIdx j : book_.live()) {
     Job& job = book_[j];
     job.left = job.saved_left >= 0 ? job.saved_left : ranking_.WorkLeft(job);
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -10,6 +10,7 @@
 #include "cloud/cloud_port.h"
 #include "fleet/cache_hints.h"
 #include "fleet/worker_port.h"
+#include "leader/gang_keeper.h"
 #include "leader/placer.h"
 #include "leader/planner.h"
 #include "net/token_bucket.h"
@@ -126,6 +127,7 @@
   CacheHints hints_;
   Rooms rooms_;
   Ranking ranking_;
+  GangKeeper gangs_;
   Placer placer_;
   Planner planner_;
   TokenBucket direct_;  // commands sent straight to workers
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -136,6 +136,7 @@
   const double now = ports_.clock->Now();
   if (slot.job == kNone) return;
   Job& job = book_[slot.job];
+  gangs_.TaskEnded(slot);
   switch (slot.why) {
     case ExitWhy::kDone:
       m.task_fails = 0;
@@ -180,9 +181,7 @@
     }
     case ExitWhy::kPeers:
     case ExitWhy::kIncomplete:
-      // No fault of this machine; the gang starts again as a whole.
-      job.backoff_until = std::max(job.backoff_until, now + 1);
-      break;
+      // No fault of this machine, nor of the job: it starts again as a whole.
     case ExitWhy::kStopped:
     case ExitWhy::kNone:
       break;
@@ -416,6 +415,7 @@
     Watch(mi);
     if (fleet_[mi].notice_until >= 0) Notice(mi);
   }
+  gangs_.Tick();
   CollectEndedJobs();
 }
 
@@ -429,6 +429,10 @@
   for (Slot& s : m.slots) {
     if (s.gone || !s.keep || s.job == kNone) continue;
     const Job& job = book_[s.job];
+    if (job.spec.gang) {
+      gangs_.MachineTaken(mi, &s, left);
+      continue;
+    }
     if (job.spec.checkpoint_s > 0) {
       // The notice may be half as long as it says.
       fleet_.Unwant(mi, &s, job.spec.save_s + 1);
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -24,7 +24,7 @@
 // Jobs by the hundred have few different needs: the plan's work grows with those.
 void AddWant(std::vector<Want>* wants, size_t from, const Need& need, uint32_t count) {
   for (size_t i = from; i < wants->size(); ++i) {
-    if (!SameNeed((*wants)[i].need, need)) continue;
+    if ((*wants)[i].one_zone || !SameNeed((*wants)[i].need, need)) continue;
     (*wants)[i].count += count;
     return;
   }
@@ -188,7 +188,13 @@
     const Job& job = (*book_)[j];
     if (!job.spec.gang || !waits(job) || job.waiting.size() < job.tasks.size()) continue;
     const auto n = static_cast<uint32_t>(job.waiting.size());
-    if (within_limit(job, n) == n) AddWant(&wants, from, need_of(job), n);
+    if (within_limit(job, n) != n) continue;
+    if (job.spec.one_zone) {
+      // Each such gang may be in another zone, but must be in one.
+      wants.push_back({need_of(job), n, true});
+    } else {
+      AddWant(&wants, from, need_of(job), n);
+    }
   }
   from = wants.size();
   double left = std::min(*waiting, backlog / tuning_->drain_s) - lent;
--- /dev/null
+++ b/src/leader/preemption.h
@@ -0,0 +1,70 @@
+// Stops tasks to make room for a job that may claim it: one of a higher priority, or one
+// within its team's guarantee against what another team runs beyond its own.
+#pragma once
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+#include "leader/rooms.h"
+
+namespace deckhall {
+
+class Preemption {
+ public:
+  Preemption(JobBook* book, Fleet* fleet, Rooms* rooms, const Clock* clock)
+      : book_(book), fleet_(fleet), rooms_(rooms), clock_(clock) {}
+
+  // A pass begins: nothing is claimed yet. First services are served, then arrays.
+  void BeginServices();
+  void BeginArrays();
+  // This pass has looked for tasks to stop for as many jobs as it may.
+  bool Exhausted() const;
+
+  struct Request {
+    JobIdx job = kNone;
+    size_t most = 0;          // places wanted at the most
+    bool image_here = false;  // only on machines that hold the job's image
+    double most_loss = 1e18;  // in core-seconds for each place
+    bool ordinary = true;     // on ordinary machines too, not only on spot machines
+  };
+  // Makes room for single tasks; returns for how many it is on its way.
+  size_t MakeRoom(const Request& request);
+  // Makes room for the whole gang in one of the sets of zones, or stops nothing. Returns
+  // the machines on which the room is, or is on its way.
+  std::vector<MachIdx> MakeGangRoom(JobIdx j, const std::vector<std::vector<char>>& zone_sets);
+
+ private:
+  struct Amounts {
+    double cores = 0;
+    double gpus = 0;
+    double memory_gb = 0;
+  };
+  // A place for one task, and what has to be stopped for it.
+  struct Choice {
+    double loss = 0;
+    MachIdx machine = kNone;
+    std::vector<size_t> slots;
+  };
+
+  bool MayAsk(const Job& job);
+  bool MayStop(const Job& job, const Slot& slot) const;
+  // What is free there, with what is being stopped and without what is spoken for.
+  Node RoomToCome(MachIdx mi) const;
+  // What stopping tasks for one more place would lose, in core-seconds; the slots are added
+  // to `chosen`. Negative: no room can be made.
+  double Loss(const Job& job, const Machine& m, Node* node, std::vector<size_t>* chosen) const;
+  // Places for the gang's tasks on one machine, the cheapest first.
+  void AddChoices(const Job& job, const Need& need, MachIdx mi, std::vector<Choice>* out) const;
+  void Claim(MachIdx mi, const Need& need);
+  void Stop(const Job& job, const Choice& choice);
+
+  JobBook* book_;
+  Fleet* fleet_;
+  Rooms* rooms_;
+  const Clock* clock_;
+  std::unordered_map<MachIdx, Amounts> claims_;  // room on its way that is spoken for
+  int asked_ = 0;                                // jobs this pass looked for tasks to stop for
+};
+
+}  // namespace deckhall
--- a/src/leader/rooms.cc
+++ b/src/leader/rooms.cc
@@ -216,6 +216,7 @@
   n.zone = job.zone;
   n.spot_ok = job.spec.spot;
   n.service = job.spec.service;
+  n.gang = job.spec.gang;
   // A replica that never ran and has waited for long, as at a cold start.
   n.patient =
       n.service && job.placed == 0 && clock_->Now() - job.waiting_since > tuning_->patient_s;
--- a/src/sched/capacity.cc
+++ b/src/sched/capacity.cc
@@ -49,49 +49,88 @@
   node->memory_gb -= need.memory_gb;
 }
 
+// The plan as it is being made.
+struct Draft {
+  const std::vector<Offer>* offers;
+  std::vector<Node> bins;
+  std::vector<int> rented;  // by offer
+  int total = 0;
+  int most = 0;
+};
+
+void PackWant(const Need& need, uint32_t left, Draft* draft) {
+  // Bins are used from the first that fits; a full pass per want is enough.
+  for (Node& bin : draft->bins) {
+    if (left == 0) break;
+    if (!bin.usable || !Allows(need, bin.type, bin.zone, bin.spot)) continue;
+    while (left > 0 && Fits(need, bin)) {
+      Take(&bin, need);
+      --left;
+    }
+  }
+  while (left > 0 && draft->total < draft->most) {
+    const int at = Best(*draft->offers, draft->rented, need, left);
+    if (at < 0) break;
+    const Offer& o = (*draft->offers)[static_cast<size_t>(at)];
+    ++draft->rented[static_cast<size_t>(at)];
+    ++draft->total;
+    Node node;
+    node.type = o.type;
+    node.zone = o.zone;
+    node.spot = o.spot;
+    node.usable = true;
+    node.cores = o.cores;
+    node.gpus = o.gpus;
+    node.memory_gb = o.memory_gb;
+    while (left > 0 && Fits(need, node)) {
+      Take(&node, need);
+      --left;
+    }
+    draft->bins.push_back(node);
+  }
+}
+
+// The zone in which most of the tasks find room; of several, one where more can be rented.
+uint32_t ZoneFor(const Need& need, uint32_t count, const Draft& draft) {
+  std::vector<uint32_t> zones;
+  for (const Offer& o : *draft.offers) {
+    if (!o.refused && Allows(need, o.type, o.zone, o.spot) && Holds(o, need) >= 1 &&
+        std::find(zones.begin(), zones.end(), o.zone) == zones.end()) {
+      zones.push_back(o.zone);
+    }
+  }
+  uint32_t best = need.zone;
+  uint32_t most = 0;
+  for (const uint32_t zone : zones) {
+    Need there = need;
+    there.zone = zone;
+    uint32_t places = 0;
+    for (const Node& bin : draft.bins) {
+      if (places >= count) break;
+      if (!bin.usable || !Allows(there, bin.type, bin.zone, bin.spot)) continue;
+      for (Node left = bin; places < count && Fits(need, left); ++places) Take(&left, need);
+    }
+    if (best != UINT32_MAX && places <= most) continue;
+    best = zone;
+    most = places;
+  }
+  return best;
+}
+
 }  // namespace
 
 std::vector<Rental> PlanRentals(const std::vector<Offer>& offers, std::vector<Node> bins,
                                 const std::vector<Want>& wants, int most_machines) {
-  std::vector<int> rented(offers.size(), 0);
-  int total = 0;
+  Draft draft{&offers, std::move(bins), std::vector<int>(offers.size(), 0), 0, most_machines};
   for (const Want& want : wants) {
     Need need = want.need;
     need.siblings = nullptr;
-    uint32_t left = want.count;
-    // Bins are used from the first that fits; a full pass per want is enough.
-    for (Node& bin : bins) {
-      if (left == 0) break;
-      if (!bin.usable || !Allows(need, bin.type, bin.zone, bin.spot)) continue;
-      while (left > 0 && Fits(need, bin)) {
-        Take(&bin, need);
-        --left;
-      }
-    }
-    while (left > 0 && total < most_machines) {
-      const int at = Best(offers, rented, need, left);
-      if (at < 0) break;
-      const Offer& o = offers[static_cast<size_t>(at)];
-      ++rented[static_cast<size_t>(at)];
-      ++total;
-      Node node;
-      node.type = o.type;
-      node.zone = o.zone;
-      node.spot = o.spot;
-      node.usable = true;
-      node.cores = o.cores;
-      node.gpus = o.gpus;
-      node.memory_gb = o.memory_gb;
-      while (left > 0 && Fits(need, node)) {
-        Take(&node, need);
-        --left;
-      }
-      bins.push_back(node);
-    }
+    if (want.one_zone) need.zone = ZoneFor(need, want.count, draft);
+    PackWant(need, want.count, &draft);
   }
   std::vector<Rental> out;
   for (size_t i = 0; i < offers.size(); ++i) {
-    if (rented[i] > 0) out.push_back({static_cast<uint32_t>(i), rented[i]});
+    if (draft.rented[i] > 0) out.push_back({static_cast<uint32_t>(i), draft.rented[i]});
   }
   return out;
 }
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -57,7 +57,7 @@
   double fetch_s =
       need.image_gb / std::max(n.fetch_gb_per_s, 1e-3) * (coming && !need.service ? 0.5 : 1.0);
   // Images fetched there at the same time share the rate.
-  if (need.service) fetch_s *= 1 + OtherFetches(n, need.image);
+  if (need.service || need.gang) fetch_s *= 1 + OtherFetches(n, need.image);
   if (need.patient) {
     // Its start is late anyway. A machine that gets the image now can start
     // later replicas at once.
@@ -109,11 +109,13 @@
 int Picker::Next(bool ordinary) {
   while (!heap_.empty()) {
     std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
-    const uint32_t at = heap_.back().second;
+    const auto [cost, at] = heap_.back();
     heap_.pop_back();
     const Node& n = (*nodes_)[at];
     // Room only shrinks and zones only close while one job is served.
-    if ((ordinary || n.spot) && Suits(*need_, n)) return static_cast<int>(at);
+    if (!(ordinary || n.spot) || !Suits(*need_, n)) continue;
+    cost_ = cost;
+    return static_cast<int>(at);
   }
   return -1;
 }
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -30,6 +30,7 @@
   uint32_t zone = UINT32_MAX;                // the only allowed one
   bool spot_ok = false;
   bool service = false;
+  bool gang = false;         // starts with the last of its images
   bool patient = false;      // late already: may seed caches
   bool cached_only = false;  // waits for a machine with its image, or getting it
   bool here_only = false;    // the image must be there already
@@ -51,6 +52,8 @@
 
   // The best node that fits now, or -1. Without `ordinary`, spot machines only.
   int Next(bool ordinary);
+  // What the node that Next() returned last costs.
+  double cost() const { return cost_; }
   // The node got a task and may take another.
   void Again(int node);
 
@@ -60,6 +63,7 @@
   const Need* need_;
   const std::vector<Node>* nodes_;
   std::vector<std::pair<double, uint32_t>> heap_;
+  double cost_ = 0;
 };
 
 }  // namespace deckhall
--- a/src/state/job_book.cc
+++ b/src/state/job_book.cc
@@ -135,12 +135,24 @@
     job.ended_at = job.life == JobLife::kLive ? -1 : now;
     job.waiting_since = now;
     job.starved_since = now - std::max(0.0, wall - job.submitted_wall);
-    if (job.life == JobLife::kLive) {
-      live_.push_back(j);
-      live_tasks_ += job.tasks.size();
-    } else {
+    if (job.life != JobLife::kLive) {
       ended_jobs_.push_back(j);
+      continue;
     }
+    live_.push_back(j);
+    live_tasks_ += job.tasks.size();
+  }
+  EndGangsWithADoneTask(now);
+}
+
+// A leader of an earlier version wrote only those of a gang's tasks that it had heard of;
+// they are done together, and none may start again.
+void JobBook::EndGangsWithADoneTask(double now) {
+  const std::vector<JobIdx> live = live_;
+  for (JobIdx j : live) {
+    if (!jobs_[j].spec.gang || jobs_[j].done == 0) continue;
+    AllDone(j);
+    End(j, JobLife::kDone, now);
   }
 }
 
@@ -160,27 +172,34 @@
   return j;
 }
 
+std::string JobBook::EndText(const Job& job) const {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.StartObject();
+  PutString(w, "s", job.life == JobLife::kDone ? "d" : "c");
+  PutString(w, "x", job.id);
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
 std::string JobBook::MainText(const Job& job) const {
+  if (!job.full) return EndText(job);
   rapidjson::StringBuffer buffer;
   JsonWriter w(buffer);
   w.SetMaxDecimalPlaces(3);
   w.StartObject();
   if (job.life != JobLife::kLive) PutString(w, "s", job.life == JobLife::kDone ? "d" : "c");
-  if (!job.full) {
-    PutString(w, "x", job.id);
-  } else {
-    w.Key("j");
-    WriteJob(w, job.spec);
-    w.Key("t");
-    w.Double(job.submitted_wall);
-    if (!job.spec.service) {
-      w.Key("v");
-      w.Double(job.left);
-    }
-    const std::string hex =
-        HexBits(job.tasks, 0, std::min<uint32_t>(kChunk, static_cast<uint32_t>(job.tasks.size())));
-    if (!hex.empty()) PutString(w, "d", hex);
+  w.Key("j");
+  WriteJob(w, job.spec);
+  w.Key("t");
+  w.Double(job.submitted_wall);
+  if (!job.spec.service) {
+    w.Key("v");
+    w.Double(job.left);
   }
+  const std::string hex =
+      HexBits(job.tasks, 0, std::min<uint32_t>(kChunk, static_cast<uint32_t>(job.tasks.size())));
+  if (!hex.empty()) PutString(w, "d", hex);
   w.EndObject();
   return {buffer.GetString(), buffer.GetSize()};
 }
@@ -219,6 +238,8 @@
 void JobBook::Save(JobIdx j, WriteUrgency urgency) {
   Job& job = jobs_[j];
   std::string text = MainText(job);
+  // Accepted under larger limits: its end must be kept, its description need not.
+  if (job.life != JobLife::kLive && text.size() > store_->most_bytes()) text = EndText(job);
   const size_t reserve = ReserveOf(job, text);
   if (job.row == kNoRow) {
     job.row = store_->Add(std::move(text), reserve, urgency);
@@ -277,29 +298,44 @@
   job.waiting.push_back(task);
 }
 
-void JobBook::Done(JobIdx j, uint32_t task) {
-  Job& job = jobs_[j];
-  Task& t = job.tasks[task];
+void JobBook::MarkDone(Job* job, uint32_t task) {
+  Task& t = job->tasks[task];
   if (t.phase == TaskPhase::kDone) return;
-  if (t.phase == TaskPhase::kPlaced) --job.placed;
-  if (t.phase == TaskPhase::kUnseen) --job.unseen;
-  if (t.phase == TaskPhase::kWaiting) std::erase(job.waiting, task);
+  if (t.phase == TaskPhase::kPlaced) --job->placed;
+  if (t.phase == TaskPhase::kUnseen) --job->unseen;
+  if (t.phase == TaskPhase::kWaiting) std::erase(job->waiting, task);
   t.phase = TaskPhase::kDone;
   t.machine = kNone;
-  ++job.done;
-  const uint32_t part = task / kChunk;
-  if (part > 0) {
-    job.chunks.resize(std::max<size_t>(job.chunks.size(), Parts(job.spec.tasks) - 1), kNoRow);
-    RowId& row = job.chunks[part - 1];
-    std::string text = ChunkText(job, part);
-    if (row == kNoRow) {
-      row = store_->Add(std::move(text), kChunkReserve, WriteUrgency::kLazy);
-    } else {
-      store_->Set(row, std::move(text), kChunkReserve, WriteUrgency::kLazy);
-    }
+  ++job->done;
+}
+
+void JobBook::SaveChunk(Job* job, uint32_t part) {
+  if (part == 0) return;  // in the job's own row
+  job->chunks.resize(std::max<size_t>(job->chunks.size(), Parts(job->spec.tasks) - 1), kNoRow);
+  RowId& row = job->chunks[part - 1];
+  std::string text = ChunkText(*job, part);
+  if (row == kNoRow) {
+    row = store_->Add(std::move(text), kChunkReserve, WriteUrgency::kLazy);
+  } else {
+    store_->Set(row, std::move(text), kChunkReserve, WriteUrgency::kLazy);
   }
 }
 
+void JobBook::Done(JobIdx j, uint32_t task) {
+  Job& job = jobs_[j];
+  if (job.tasks[task].phase == TaskPhase::kDone) return;
+  MarkDone(&job, task);
+  SaveChunk(&job, task / kChunk);
+}
+
+void JobBook::AllDone(JobIdx j) {
+  Job& job = jobs_[j];
+  if (job.done == job.tasks.size()) return;
+  job.waiting.clear();
+  for (uint32_t task = 0; task < job.tasks.size(); ++task) MarkDone(&job, task);
+  for (uint32_t part = 1; part < Parts(job.spec.tasks); ++part) SaveChunk(&job, part);
+}
+
 void JobBook::RemoveFrom(std::vector<JobIdx>* list, JobIdx j) {
   list->erase(std::remove(list->begin(), list->end(), j), list->end());
 }
--- a/src/state/job_book.h
+++ b/src/state/job_book.h
@@ -42,6 +42,8 @@
   void Unplace(JobIdx j, uint32_t task);
   void SeenFree(JobIdx j, uint32_t task);  // unseen -> waiting
   void Done(JobIdx j, uint32_t task);
+  // All tasks at once: those of a gang complete together.
+  void AllDone(JobIdx j);
   // The job is over. A cancellation is waited for by its user; of a job that is done nobody
   // expects to hear at once.
   void End(JobIdx j, JobLife life, double now);
@@ -51,8 +53,14 @@
   Names teams, images, classes, zones, types;
 
  private:
+  // The task's phase and the counts; its row is still to be written.
+  void MarkDone(Job* job, uint32_t task);
+  void EndGangsWithADoneTask(double now);
+  void SaveChunk(Job* job, uint32_t part);
   void Attach(Job& job);
   std::string MainText(const Job& job) const;
+  // What is kept of a job that is over for good.
+  std::string EndText(const Job& job) const;
   // The size to which the row may grow.
   size_t ReserveOf(const Job& job, const std::string& text) const;
   std::string ChunkText(const Job& job, uint32_t part) const;
--- /dev/null
+++ b/src/state/page_split.cc
@@ -0,0 +1,45 @@
+#include "state/page_split.h"
+
+#include <algorithm>
+
+namespace deckhall {
+namespace {
+
+// Of a page, what its brackets take.
+constexpr size_t kBrackets = 2;
+
+// First fit: each row goes to the first page with room. One that is larger than a page
+// gets a page of its own.
+RowGroups Pack(const std::vector<RowSize>& rows, size_t RowSize::*size, size_t page_bytes) {
+  RowGroups groups;
+  std::vector<size_t> used;
+  for (size_t i = 0; i < rows.size(); ++i) {
+    const size_t bytes = rows[i].*size;
+    size_t at = 0;
+    while (at < groups.size() && used[at] + bytes > page_bytes) ++at;
+    if (at == groups.size()) {
+      groups.emplace_back();
+      used.push_back(kBrackets);
+    }
+    groups[at].push_back(i);
+    used[at] += bytes;
+  }
+  return groups;
+}
+
+}  // namespace
+
+RowGroups PlanSplit(const std::vector<RowSize>& rows, const SplitLimits& limits) {
+  RowGroups groups = Pack(rows, &RowSize::reserve, limits.fill_bytes);
+  // Tight pages are split again later; what matters now is one transaction.
+  if (groups.size() > limits.most_pages) groups = Pack(rows, &RowSize::text, limits.most_bytes);
+  const size_t most = std::max<size_t>(limits.most_pages, 1);
+  while (groups.size() > most) {
+    std::vector<size_t> rest = std::move(groups.back());
+    groups.pop_back();
+    groups.front().insert(groups.front().end(), rest.begin(), rest.end());
+  }
+  return groups;
+}
+
+}  // namespace deckhall
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -13,6 +13,9 @@
 
 constexpr std::string_view kPrefix = "deckhall/pages/";
 constexpr size_t kTxnBytes = 56 << 10;
+// Of a transaction, and of each page in it, what is not value.
+constexpr size_t kTxnRest = 200;
+constexpr size_t kTxnPageRest = 80;
 constexpr int kMostFlights = 4;
 // What is kSoon becomes as urgent as the rest after so many times `soon_s`.
 constexpr double kSoonAtMost = 3;
@@ -20,6 +23,8 @@
 constexpr double kLazyAtMost = 5;
 // Puts of the budget that only what is kNow may use.
 constexpr double kRoomKeptForUrgent = 2;
+// More than this part of the burst is never waited for.
+constexpr double kBurstFilled = 0.9;
 
 }  // namespace
 
@@ -28,6 +33,7 @@
     : state_(state),
       clock_(clock),
       limits_(limits),
+      stated_ops_(limits.txn_ops),
       leader_key_(std::move(leader_key)),
       term_(term) {}
 
@@ -96,20 +102,28 @@
   for (uint32_t i = 0; i < pages_.size(); ++i) {
     const Page& p = pages_[i];
     // A page on its way takes no new row: that would have to wait for its answer.
-    if (p.in_flight || p.reserved + bytes > limits_.value_bytes) continue;
+    // Nor does one whose split is not confirmed.
+    if (p.in_flight || p.origin != kNoPage) continue;
+    if (p.reserved + bytes > limits_.value_bytes) continue;
     if (best == UINT32_MAX || p.reserved > pages_[best].reserved) best = i;
   }
   if (best != UINT32_MAX) return best;
+  NewPage();
+  return static_cast<uint32_t>(pages_.size() - 1);
+}
+
+RowStore::Page& RowStore::NewPage() {
   Page page;
   char name[32];
   std::snprintf(name, sizeof name, "%06llu", static_cast<unsigned long long>(next_page_++));
   page.key = std::string(kPrefix) + name;
   pages_.push_back(std::move(page));
-  return static_cast<uint32_t>(pages_.size() - 1);
+  return pages_.back();
 }
 
 void RowStore::MarkDirty(uint32_t index, WriteUrgency urgency) {
-  Page& p = pages_[index];
+  const uint32_t origin = pages_[index].origin;
+  Page& p = pages_[origin == kNoPage ? index : origin];
   const double now = clock_->Now();
   if (!p.dirty) p.since = now;
   if (urgency == WriteUrgency::kSoon && p.urgency == WriteUrgency::kLazy) p.soon_since = now;
@@ -171,14 +185,13 @@
   free_rows_.push_back(id);
 }
 
-std::string RowStore::Render(const Page& page, size_t* bytes) const {
+std::string RowStore::Render(const Page& page) const {
   std::string out = "[";
   for (RowId id : page.rows) {
     if (out.size() > 1) out += ',';
     out += rows_[id].text;
   }
   out += ']';
-  *bytes += out.size() + 80;
   return out;
 }
 
@@ -207,7 +220,9 @@
   std::vector<DuePage> due;
   for (uint32_t i = 0; i < pages_.size(); ++i) {
     const Page& page = pages_[i];
-    if (!page.dirty || page.in_flight) continue;
+    if (!page.dirty || page.in_flight || now < page.held_until) continue;
+    // The parts of a split go out with their origin.
+    if (page.origin != kNoPage && page.origin != i) continue;
     const WriteUrgency urgency = DueAs(page, now);
     // Only what is urgent overtakes: the more goes together, the fewer puts.
     const bool waits = now - page.since < limits_.lazy_s || flights_ > 0;
@@ -233,6 +248,13 @@
   return room >= std::max(1.0, static_cast<double>(limits_.txn_ops) / 3);
 }
 
+bool RowStore::HasRoomFor(size_t puts, double room, WriteUrgency urgency) const {
+  if (puts <= 1) return HasRoom(room, urgency);
+  // The pages of a split go out together, as far as the burst allows.
+  const double wanted = static_cast<double>(puts) + kRoomKeptForUrgent;
+  return room >= std::min(wanted, limits_.write_burst * kBurstFilled);
+}
+
 bool RowStore::SendOne() {
   const double now = clock_->Now();
   if (stopped_ || conflict_ || resolving_ || now < retry_at_ || flights_ >= kMostFlights) {
@@ -241,29 +263,60 @@
   const std::vector<DuePage> due = DuePages(now);
   if (due.empty()) return false;
   double room = state_->WriteRoom();
-  Txn txn;
-  txn.conditions.push_back({leader_key_, term_});
-  size_t bytes = 200;
-  std::vector<uint32_t> sent;
+  Outgoing out;
+  out.txn.conditions.push_back({leader_key_, term_});
+  out.bytes = kTxnRest;
   for (const DuePage& page : due) {
-    Page& p = pages_[page.index];
-    if (sent.size() >= limits_.txn_ops) break;
-    if (!HasRoom(room, page.urgency)) break;
-    size_t total = bytes;
-    std::string value = Render(p, &total);
-    if (value.size() > limits_.most_bytes) {
-      // Refused with all that goes along: the others must not wait for it.
-      if (!std::exchange(p.too_large, true)) {
-        spdlog::error("page {} is too large to be written: {} bytes", p.key, value.size());
+    if (TooLarge(pages_[page.index])) Split(page.index);
+    const size_t puts = UnitOf(page.index).size();
+    const bool alone = pages_[page.index].alone;
+    if (!out.pages.empty() && (alone || out.pages.size() + puts > limits_.txn_ops)) break;
+    if (!HasRoomFor(puts, room, page.urgency)) break;
+    if (!AddToTxn(page, &out)) {
+      if (out.pages.empty()) continue;
+      break;
+    }
+    room -= static_cast<double>(puts);
+    if (pages_[page.index].alone) break;
+  }
+  if (out.pages.empty()) return false;
+  ++flights_;
+  state_->Commit(out.txn, [this, sent = out.pages, largest = out.largest](
+                              const StateAnswer& answer) { Finished(sent, largest, answer); });
+  return true;
+}
+
+bool RowStore::AddToTxn(const DuePage& due, Outgoing* out) {
+  const std::vector<uint32_t> unit = UnitOf(due.index);
+  std::vector<std::string> values;
+  size_t total = out->bytes;
+  size_t largest = out->largest;
+  for (uint32_t i : unit) {
+    values.push_back(Render(pages_[i]));
+    total += values.back().size() + kTxnPageRest;
+    largest = std::max(largest, values.back().size());
+  }
+  Page& first = pages_[due.index];
+  if (largest > limits_.most_bytes) {
+    // Perhaps refused, with all that goes along: the others must not wait for it.
+    first.alone = true;
+    if (largest > limits_.present_bytes) {
+      first.held_until = clock_->Now() + kHoldRejected;
+      if (!std::exchange(first.too_large, true)) {
+        spdlog::error("page {} is too large to be written: {} bytes", first.key, largest);
       }
-      continue;
+      return false;
     }
-    if (!sent.empty() && total > kTxnBytes) break;
-    bytes = total;
-    room -= 1;
-    txn.conditions.push_back({p.key, p.version});
-    txn.writes.push_back({p.key, std::move(value), 0});
-    sent.push_back(page.index);
+    if (!out->pages.empty()) return false;
+  }
+  if (!out->pages.empty() && total > kTxnBytes) return false;
+  out->bytes = total;
+  out->largest = largest;
+  for (size_t k = 0; k < unit.size(); ++k) {
+    Page& p = pages_[unit[k]];
+    out->txn.conditions.push_back({p.key, p.version});
+    out->txn.writes.push_back({p.key, std::move(values[k]), 0});
+    out->pages.push_back(unit[k]);
     p.dirty = false;
     p.urgency = WriteUrgency::kLazy;
     p.in_flight = true;
@@ -272,13 +325,11 @@
       rows_[id].dirty = false;
     }
   }
-  if (sent.empty()) return false;
-  ++flights_;
-  state_->Commit(txn, [this, sent](const StateAnswer& answer) { Finished(sent, answer); });
   return true;
 }
 
-void RowStore::Finished(const std::vector<uint32_t>& sent, const StateAnswer& answer) {
+void RowStore::Finished(const std::vector<uint32_t>& sent, size_t largest,
+                        const StateAnswer& answer) {
   if (stopped_) return;
   const double now = clock_->Now();
   const bool ok = answer.outcome == StateOutcome::kOk;
@@ -297,6 +348,17 @@
       p.urgency = WriteUrgency::kNow;
     }
   }
+  if (ok) {
+    accepted_bytes_ = std::max(accepted_bytes_, largest);
+    for (uint32_t i : sent) {
+      pages_[i].alone = false;
+      if (pages_[i].origin == i) ConfirmSplit(i);
+    }
+  }
+  for (uint32_t i : sent) {
+    if (answer.outcome == StateOutcome::kUnknown) pages_[i].unsure = true;
+  }
+  if (answer.outcome == StateOutcome::kRejected) Rejected(sent, largest);
   // No answer: the same pages are written again under the same versions. Should
   // the first try be applied late, the second meets a conflict, never both.
   if (answer.outcome == StateOutcome::kConflict) conflict_ = true;
@@ -342,6 +404,7 @@
         ResolvePages(answer.rows.back().key);
         return;
       }
+      ConfirmSplits();
     }
     resolving_ = false;
     retry_at_ = clock_->Now() + 0.05;
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -16,8 +16,12 @@
 using RowId = uint32_t;
 constexpr RowId kNoRow = UINT32_MAX;
 
-// Of a page, what its brackets take.
+// Of a page, what its brackets take, with some room to spare.
 constexpr size_t kPageRest = 16;
+// What a page without rows takes.
+constexpr size_t kEmptyPage = 2;
+// A page that was rejected alone is tried again after so many seconds.
+constexpr double kHoldRejected = 5;
 
 // How soon a changed row has to be in the state service.
 enum class WriteUrgency : uint8_t {
@@ -27,9 +31,11 @@
 };
 
 struct StoreLimits {
-  size_t most_bytes = 8 << 10;   // of a value, or it is refused
-  size_t value_bytes = 8 << 10;  // to which pages are filled
+  size_t most_bytes = 8 << 10;     // of a value, or it is refused
+  size_t value_bytes = 8 << 10;    // to which pages are filled
+  size_t present_bytes = 8 << 10;  // of a value, as long as announced limits are not in force
   size_t txn_ops = 12;
+  double write_burst = 16;  // puts that can go out at once
   double lazy_s = 0.7;
   double soon_s = 0.4;
 };
@@ -50,8 +56,12 @@
   // A row that was loaded may grow to this size: its page takes no more than leaves room
   // for that. A page over the state service's limit could never be written again.
   void Reserve(RowId row, size_t reserve);
+  // Pages that are larger than the limits allow are split, a few rows' moves at a time:
+  // old pages may have been filled under larger limits. Called when all rows are known.
+  void SplitLargePages();
   // The largest text that a row may have.
   size_t most_bytes() const { return limits_.value_bytes - kPageRest; }
+  size_t TextBytes(RowId row) const { return rows_[row].text.size(); }
   // True when the text last set is in the state service.
   bool Durable(RowId row) const { return !rows_[row].dirty && !rows_[row].in_flight; }
   // Pages whose rows are not known: what they held can't be denied.
@@ -78,7 +88,7 @@
   struct Page {
     std::string key;
     uint64_t version = 0;
-    size_t reserved = 2;
+    size_t reserved = kEmptyPage;
     std::vector<RowId> rows;
     bool dirty = false;
     WriteUrgency urgency = WriteUrgency::kLazy;
@@ -86,10 +96,33 @@
     bool too_large = false;  // said so
     double since = 0;        // of the oldest change that is not sent
     double soon_since = 0;   // of the oldest one that is kSoon
+    // A split that is not known to be carried out: its pages are written in one
+    // transaction, or a row would be stored twice or not at all.
+    uint32_t origin = kNoPage;    // the page that is split, also there itself
+    std::vector<uint32_t> parts;  // at the origin: all pages of the split
+    bool unsure = false;          // at the origin: a try was not answered
+    bool alone = false;           // was rejected with others: goes in a transaction of its own
+    double held_until = 0;        // was rejected alone: not tried before
   };
+  static constexpr uint32_t kNoPage = UINT32_MAX;
 
   uint32_t PageFor(size_t bytes);
+  Page& NewPage();
   void MarkDirty(uint32_t page, WriteUrgency urgency);
+  bool TooLarge(const Page& page) const;
+  // Moves rows of a page that is too large to new pages, in memory; the transaction
+  // that writes all of them is still to be sent.
+  void Split(uint32_t page);
+  // The rejected split of this origin is taken back.
+  void UndoSplit(uint32_t origin);
+  void ConfirmSplit(uint32_t origin);
+  // Splits whose transaction was carried out though its answer was lost.
+  void ConfirmSplits();
+  // The pages that go out with this one: itself, or all of its split.
+  std::vector<uint32_t> UnitOf(uint32_t page) const;
+  // The state service refused the transaction for what it contains.
+  void Rejected(const std::vector<uint32_t>& sent, size_t largest);
+  void LearnValueLimit(size_t refused_bytes);
   // Whether the page is to be sent now, and how urgently: kLazy while it can wait.
   WriteUrgency DueAs(const Page& page, double now) const;
   struct DuePage {
@@ -97,14 +130,25 @@
     WriteUrgency urgency;
     double since;
   };
+  // A transaction that is being put together.
+  struct Outgoing {
+    Txn txn;
+    std::vector<uint32_t> pages;
+    size_t bytes = 0;
+    size_t largest = 0;  // of its values, in bytes
+  };
   // The pages to send, the most urgent ones first.
   std::vector<DuePage> DuePages(double now) const;
   // Whether the budget for writes allows one more page of that urgency.
   bool HasRoom(double room, WriteUrgency urgency) const;
-  std::string Render(const Page& page, size_t* bytes) const;
+  // The same for so many puts that go out together.
+  bool HasRoomFor(size_t puts, double room, WriteUrgency urgency) const;
+  // Adds the page, with all that must go along, to the transaction. False: it can't.
+  bool AddToTxn(const DuePage& due, Outgoing* out);
+  std::string Render(const Page& page) const;
   // Sends one transaction, if something is due and may go.
   bool SendOne();
-  void Finished(const std::vector<uint32_t>& sent, const StateAnswer& answer);
+  void Finished(const std::vector<uint32_t>& sent, size_t largest, const StateAnswer& answer);
   void Resolve();
   void ResolvePages(const std::string& after);
   void LoadFrom(const std::string& after, Loaded done);
@@ -112,6 +156,8 @@
   StatePort* state_;
   const Clock* clock_;
   StoreLimits limits_;
+  size_t stated_ops_;          // of the limits as they were handed over
+  size_t accepted_bytes_ = 0;  // largest value accepted since a transaction was rejected
   std::string leader_key_;
   uint64_t term_;
   std::vector<Row> rows_;
--- a/src/state/state_client.cc
+++ b/src/state/state_client.cc
@@ -20,7 +20,7 @@
     : clock_(clock),
       at_(std::move(at)),
       requests_(rps * 0.7, std::max(4.0, rps * 0.6)),
-      writes_(write_rps * 0.85, std::max(2.0, write_rps * 0.8)),
+      writes_(write_rps * 0.85, WriteBurst(write_rps)),
       rps_(rps),
       http_(loop, 16, kMaxAnswer),
       refuse_(loop, [this] {
@@ -72,7 +72,8 @@
       {"POST", "/txn", EncodeTxn(txn), timeout}, 2,
       [](const HttpResult& r, StateAnswer* a) {
         if (r.status == 200 && DecodeRevision(r.body, &a->number)) a->outcome = StateOutcome::kOk;
-        if (r.status == 409 || r.status == 400) a->outcome = StateOutcome::kConflict;
+        if (r.status == 409) a->outcome = StateOutcome::kConflict;
+        if (r.status == 400) a->outcome = StateOutcome::kRejected;
         if (r.status == 400) spdlog::warn("state service refuses a transaction: {}", r.body);
       },
       [this, sent, done = std::move(done)](const StateAnswer& a) {
--- a/src/state/state_client.h
+++ b/src/state/state_client.h
@@ -1,6 +1,7 @@
 // The state service over HTTP, within its rate limits.
 #pragma once
 
+#include <algorithm>
 #include <string>
 
 #include "net/clock.h"
@@ -10,6 +11,9 @@
 
 namespace deckhall {
 
+// Puts that may go out at once, of a limit for each second.
+inline double WriteBurst(double write_rps) { return std::max(2.0, write_rps * 0.8); }
+
 class StateClient : public StatePort {
  public:
   StateClient(Loop* loop, const Clock* clock, Endpoint at, double rps, double write_rps);
--- a/src/state/state_port.h
+++ b/src/state/state_port.h
@@ -12,6 +12,7 @@
 enum class StateOutcome {
   kOk,
   kConflict,  // a condition did not hold, or a lease is gone
+  kRejected,  // surely not executed, nor ever as it is: 400
   kRefused,   // surely not executed: 429, 503, budget
   kUnknown    // no answer: executed, or not, or later
 };
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -342,7 +342,7 @@
   cloud_.types = {BoxType(settings.zones)};
   oracle = std::make_unique<Oracle>(settings.teams, settings.cancel_s);
   shells_.resize(nodes);
-  store_.value_limit = static_cast<size_t>(settings.state_value_kb * 1024);
+  store_.value_limit = static_cast<size_t>(settings.state_now.value_kb * 1024);
   for (size_t i = 0; i < nodes; ++i) Boot(i);
   At(clock_.now + 1, [this] { Watch(); });
 }
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -48,8 +48,10 @@
   std::vector<Txn> committed;
   double write_room = 100;
   size_t value_limit = SIZE_MAX;  // larger values get 400
-  size_t list_page = 1000;        // rows in one answer
-  int fail_lists_after = -1;      // so many lists are answered, then one is not
+  size_t ops_limit = SIZE_MAX;    // larger transactions too
+  int too_many_ops = 0;
+  size_t list_page = 1000;    // rows in one answer
+  int fail_lists_after = -1;  // so many lists are answered, then one is not
   std::deque<std::function<void()>> queue;
 
   void Run() {
@@ -64,6 +66,11 @@
   }
   StateAnswer Apply(const Txn& txn) {
     StateAnswer a;
+    if (txn.writes.size() > ops_limit) {
+      ++too_many_ops;
+      a.outcome = StateOutcome::kRejected;
+      return a;
+    }
     a.outcome = StateOutcome::kConflict;
     for (const auto& c : txn.conditions) {
       auto it = keys.find(c.key);
@@ -73,6 +80,7 @@
       if (w.lease != 0 && !leases.contains(w.lease)) return a;
       if (w.value.size() > value_limit) {
         ++too_large;
+        a.outcome = StateOutcome::kRejected;
         return a;
       }
     }
--- a/tests/leader_test.cc
+++ b/tests/leader_test.cc
@@ -325,7 +325,7 @@
 TEST(Takeover, PagesThatTheNextLeaderFillsStayWithinTheLimitWhenTheirRowsGrow) {
   World w;
   w.cloud.refuse = true;
-  w.settings.state_value_kb = 2;
+  w.settings.state_now.value_kb = w.settings.state_kept.value_kb = 2;
   w.state.value_limit = 2048;
   w.settings.teams = {{"blue", 0, 0, 0, 0}};
   w.tuning.save_s = 1;
--- a/tests/mix_test.cc
+++ b/tests/mix_test.cc
@@ -64,7 +64,7 @@
     s.report_s = seed % 2 == 0 ? 3 : 6;
     s.lease_s = leases[seed % 3];
     s.cancel_s = s.lease_s + beyond[seed / 3 % 3];
-    s.state_value_kb = seed % 5 < 2 ? 1.5 : 8;
+    s.state_now.value_kb = s.state_kept.value_kb = seed % 5 < 2 ? 1.5 : 8;
     s.time_bound_ms = seed % 4 < 2 ? 1000 : 100;
     return s;
   }
