--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -233,7 +234,20 @@
   int hold = 0;          // commands held back; see Late()
   std::vector<std::pair<uint64_t, std::pair<uint64_t, std::vector<Command>>>> held;
   std::vector<std::string> started;
+  std::set<std::string> gangs;  // jobs whose tasks gather before they run, and save when stopped
+  double save_s = 0;            // for which a stop must leave time, or they just exit
 
+  bool InGang(const std::string& task) const {
+    return gangs.contains(task.substr(0, task.rfind('/')));
+  }
+  void Stop(TaskReport* task, double grace_s) {
+    const bool saves = InGang(task->task) && grace_s >= save_s;
+    if (task->state == TaskState::kRunning && saves) {
+      task->state = TaskState::kSaving;
+    } else if (task->state != TaskState::kSaving || grace_s == 0) {
+      End(task->task, ExitWhy::kStopped);
+    }
+  }
   void Execute(uint64_t token, const std::vector<Command>& commands) {
     report.token = std::max(report.token, token);
     for (const Command& c : commands) {
@@ -241,10 +255,11 @@
         return t.task == c.task && t.attempt == c.attempt;
       });
       if (c.op == CommandOp::kStart && it == report.tasks.end()) {
-        report.tasks.push_back({c.task, c.attempt, TaskState::kRunning, ExitWhy::kNone, false});
+        const TaskState state = InGang(c.task) ? TaskState::kGathering : TaskState::kRunning;
+        report.tasks.push_back({c.task, c.attempt, state, ExitWhy::kNone, false});
         started.push_back(c.task);
       } else if (c.op == CommandOp::kStop && it != report.tasks.end()) {
-        End(c.task, ExitWhy::kStopped);
+        Stop(&*it, c.grace_s);
       } else if (c.op == CommandOp::kForget && it != report.tasks.end()) {
         report.tasks.erase(it);
       }
--- /dev/null
+++ b/tests/gang_test.cc
@@ -0,0 +1,411 @@
+// Gangs, a test for each thing that the operators' page asks of them.
+#include <gtest/gtest.h>
+
+#include "gang_world.h"
+#include "sched/capacity.h"
+
+namespace deckhall {
+namespace {
+
+TEST(Gang, IsRefusedWhenAllOfItNeedsMoreThanTheLimit) {
+  GangWorld w;
+  w.Lead();
+  EXPECT_EQ(w.Submit(w.Gang("job-1", 21)).status, 422);  // 42 cores of 40
+  EXPECT_EQ(w.Submit(w.Gang("job-2", 20)).status, 201);
+  EXPECT_EQ(w.Submit(w.Gang("job-2", 20)).status, 200);
+  EXPECT_EQ(w.Submit(w.Gang("job-3", 1, 9)).status, 422);  // fits no machine
+}
+
+TEST(Gang, StartsOnlyWhenAllOfItIsWithinTheLimit) {
+  GangWorld w;
+  w.settings.teams[0].cores_max = 8;
+  w.Lead();
+  for (int i = 0; i < 3; ++i) w.Box("m-" + std::to_string(i), "east");
+  w.Submit(w.Gang("job-1", 3));
+  w.Run(2);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 3U);
+  w.Submit(w.Gang("job-2", 2));
+  w.Run(5);
+  EXPECT_EQ(w.Starts("job-2"), 0U);
+  w.Complete("job-1");
+  w.Run(3);
+  EXPECT_EQ(w.In("job-2", TaskState::kRunning), 2U);
+}
+
+TEST(Gang, GoesToTheZoneThatHasRoomForAllOfIt) {
+  GangWorld w;
+  w.Lead();
+  w.Box("m-1", "east");
+  w.Box("m-2", "west");
+  w.Box("m-3", "west");
+  w.Submit(w.Gang("job-1", 6));  // 12 cores; each machine has 8
+  w.Run(3);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  EXPECT_FALSE(w.two_zones);
+  EXPECT_EQ(w.Attempts("job-1").size(), 1U);
+}
+
+TEST(Gang, StartsNothingWhileOneZoneHasNotRoomForAllOfIt) {
+  GangWorld w;
+  w.Lead();
+  w.Box("m-1", "east");
+  w.Box("m-2", "west");
+  w.Submit(w.Gang("job-1", 6));
+  w.Run(10);
+  EXPECT_EQ(w.Starts("job-1"), 0U);
+}
+
+TEST(Gang, ARefusedTaskIsReplacedUnderTheSameAttempt) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  auto& b = w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  // The first command there arrives at a machine without room.
+  a.report.tasks.clear();
+  w.Pass(0.5);
+  ASSERT_EQ(w.In("job-1", TaskState::kGathering), 6U);
+  const std::set<uint64_t> attempt = w.Attempts("job-1");
+  a.End(a.report.tasks.back().task, ExitWhy::kNoRoom);
+  w.Box("m-3", "east");
+  w.Run(4);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  EXPECT_EQ(w.Attempts("job-1"), attempt);
+  EXPECT_EQ(w.Starts("job-1"), 7U);
+  EXPECT_FALSE(w.ran_twice);
+  EXPECT_GT(b.started.size(), 0U);
+}
+
+TEST(Gang, ATaskOnASilentMachineIsReplacedOnlyWhenItSurelyEnded) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  w.Pass(0.5);
+  const std::set<uint64_t> attempt = w.Attempts("job-1");
+  w.Box("m-3", "east");
+  w.cloud.out = true;
+  a.silent = true;
+  w.Run(5);
+  EXPECT_FALSE(w.ran_twice);
+  EXPECT_EQ(w.Starts("job-1"), 6U);
+  w.cloud.out = false;  // its return ends what is on it
+  w.Run(1);
+  a.report.tasks.clear();
+  w.Run(6);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  EXPECT_EQ(w.Attempts("job-1"), attempt);
+}
+
+TEST(Gang, AnAttemptThatCanNotBeCompletedIsGivenUpAndNotWaitedOut) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 8));  // takes all of both
+  w.Pass(0.5);
+  ASSERT_EQ(w.In("job-1", TaskState::kGathering), 8U);
+  w.cloud.out = false;
+  a.silent = true;
+  a.report.tasks.clear();
+  w.Run(12);
+  // The places are free long before the gathering time is over.
+  EXPECT_EQ(w.In("job-1", TaskState::kGathering), 0U);
+  EXPECT_EQ(w.Attempts("job-1").size(), 0U);
+}
+
+TEST(Gang, ARunningOneThatLostATaskStartsAgainAsAWholeWhenAllOfItHasEnded) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  w.Run(2);
+  ASSERT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  const std::set<uint64_t> first = w.Attempts("job-1");
+  w.Box("m-3", "east");
+  a.silent = true;
+  a.report.tasks.clear();
+  w.Run(4);
+  // Sooner than the tasks themselves would notice.
+  EXPECT_LT(4, w.settings.gang_peer_s);
+  w.Run(2);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  EXPECT_NE(w.Attempts("job-1"), first);
+  EXPECT_EQ(w.Attempts("job-1").size(), 1U);
+  EXPECT_FALSE(w.ran_twice);
+}
+
+TEST(Gang, StaysInTheZoneOfAnAttemptThatHasNotEnded) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Submit(w.Gang("job-1", 2));
+  w.Run(2);
+  ASSERT_EQ(w.In("job-1", TaskState::kRunning), 2U);
+  w.cloud.out = true;
+  w.Box("m-2", "west");
+  a.silent = true;  // hangs with both tasks, and its lease counts on
+  w.Run(w.settings.lease_s - 2);
+  EXPECT_EQ(w.Starts("job-1"), 2U);
+  a.report.tasks.clear();
+  w.Run(10);
+  EXPECT_EQ(w.Starts("job-1"), 4U);
+  EXPECT_FALSE(w.two_zones);
+}
+
+TEST(Gang, OneDoneTaskIsTheEndOfAllOfThemAlsoForTheNextLeader) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  auto& b = w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  w.Run(2);
+  b.silent = true;
+  w.Complete("job-1", {"m-1"});
+  b.report.tasks.clear();  // lost with what it knew
+  w.Run(3);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").done, 6U);
+  w.Run(10);
+  w.Lead();
+  w.Run(10);
+  EXPECT_EQ(w.Starts("job-1"), 6U);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+  EXPECT_TRUE(a.report.tasks.empty());  // cleared
+}
+
+// As the version before wrote it, which kept each task's end by itself.
+TEST(Gang, ADoneTaskInARowOfTheVersionBeforeEndsTheGang) {
+  GangWorld w;
+  w.state.keys["deckhall/pages/000000"] = {
+      R"([{"j":{"name_id":"job-1","clase":"sums","cuadrilla":"blue","forma":"ensemble",)"
+      R"("rango":"normal","faenas":3,"cores":2.0,"memory_gb":4.0,"carga":"img","image_gb":1.0,)"
+      R"("one_zone":true,"rumbo_s":30.0,"bitacora_s":20.0,"estiba_s":3.0},)"
+      R"("t":500000990.0,"v":60.0,"d":"2"}])",
+      90, 0};
+  w.Lead();
+  w.Box("m-1", "east");
+  w.Run(3);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+  EXPECT_EQ(w.Starts("job-1"), 0U);
+}
+
+TEST(Gang, PeersBlameNeitherMachineNorJob) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Submit(w.Gang("job-1", 3));
+  for (int round = 0; round < 4; ++round) {
+    w.Run(2);
+    ASSERT_EQ(w.In("job-1", TaskState::kRunning), 3U) << round;
+    for (TaskReport& task : a.report.tasks) {
+      if (task.state != TaskState::kExited) a.End(task.task, ExitWhy::kPeers);
+    }
+  }
+  EXPECT_TRUE(w.cloud.returned.empty());
+}
+
+TEST(Gang, AMachineThatFailsItsTasksIsStillFound) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  for (const char* id : {"job-1", "job-2"}) {
+    w.Submit(w.Gang(id, 2));
+    w.Run(2);
+    const std::string task = std::string(id) + "/0";
+    ASSERT_TRUE(a.Has(task));
+    a.End(task, ExitWhy::kError);
+    w.Pass(0.5);
+  }
+  const size_t before = a.started.size();
+  w.Run(10);
+  EXPECT_EQ(a.started.size(), before);  // quarantined
+}
+
+TEST(Gang, ASpotNoticeStopsAllOfItInTimeToSave) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east", true);
+  auto& b = w.Box("m-2", "east", true);
+  JobSpec gang = w.Gang("job-1", 6);
+  gang.spot = true;
+  gang.estimate_s = 100;
+  w.Submit(gang);
+  w.Run(2);
+  ASSERT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  a.report.notice_s = 12;
+  w.Run(1.5);
+  EXPECT_EQ(w.In("job-1", TaskState::kSaving), 6U);
+  w.Run(4);
+  size_t saved = 0;
+  for (const TaskReport& task : b.report.tasks) saved += task.saved ? 1 : 0;
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 0U);
+  EXPECT_EQ(w.Attempts("job-1").size(), 0U);
+}
+
+TEST(Gang, ANoticeThatLeavesNoTimeToSaveEndsItAtOnce) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east", true);
+  w.Box("m-2", "east", true);
+  JobSpec gang = w.Gang("job-1", 6);
+  gang.spot = true;
+  gang.estimate_s = 100;
+  w.Submit(gang);
+  w.Run(2);
+  a.report.notice_s = 4;
+  w.Run(1.5);
+  EXPECT_EQ(w.In("job-1", TaskState::kSaving), 0U);
+  EXPECT_EQ(w.Attempts("job-1").size(), 0U);
+}
+
+TEST(Gang, ANewLeaderFinishesAStopThatReachedSomeOfItsTasks) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  w.Run(2);
+  const std::set<uint64_t> first = w.Attempts("job-1");
+  for (TaskReport& task : a.report.tasks) task.state = TaskState::kSaving;
+  w.Lead();
+  w.Run(2);
+  EXPECT_EQ(w.In("job-1", TaskState::kSaving), 6U);
+  w.Run(4);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  EXPECT_NE(w.Attempts("job-1"), first);
+}
+
+TEST(Gang, RunsOnUnderANewLeader) {
+  GangWorld w;
+  w.Lead();
+  w.Box("m-1", "east");
+  w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  w.Run(2);
+  const std::set<uint64_t> first = w.Attempts("job-1");
+  w.Lead();
+  w.Run(10);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  EXPECT_EQ(w.Attempts("job-1"), first);
+}
+
+TEST(Gang, ANewLeaderCompletesOneThatGathers) {
+  GangWorld w;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  w.Pass(0.5);
+  const std::set<uint64_t> first = w.Attempts("job-1");
+  const std::string lost = a.report.tasks.back().task;
+  a.End(lost, ExitWhy::kNoRoom);
+  w.Box("m-3", "east");
+  w.Lead();
+  w.Run(6);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning), 6U);
+  EXPECT_EQ(w.Attempts("job-1"), first);
+}
+
+TEST(Gang, AnUrgentOneStopsIdleWorkOnlyWhenAllOfItFitsThen) {
+  for (const uint32_t tasks : {6U, 9U}) {
+    GangWorld w;
+    w.settings.teams[0].cores_max = 0;
+    w.tuning.preempt_after_s = 1;
+    w.Lead();
+    w.Box("m-1", "east");
+    w.Box("m-2", "east");
+    JobSpec idle = w.Array("job-1", 8);
+    idle.priority = Priority::kIdle;
+    idle.estimate_s = 300;
+    w.Submit(idle);
+    w.Run(2);
+    ASSERT_EQ(w.In("job-1", TaskState::kRunning), 8U);
+    JobSpec gang = w.Gang("job-2", tasks);
+    gang.priority = Priority::kUrgent;
+    w.Submit(gang);
+    w.Run(6);
+    const bool fits = tasks == 6;
+    EXPECT_EQ(w.In("job-2", TaskState::kRunning), fits ? 6U : 0U);
+    EXPECT_EQ(w.In("job-1", TaskState::kRunning), fits ? 2U : 8U);
+  }
+}
+
+TEST(Gang, SmallTasksDoNotTakeAllFreedPieces) {
+  GangWorld w;
+  w.settings.teams[0].cores_max = 0;
+  w.Lead();
+  auto& a = w.Box("m-1", "east");
+  w.Submit(w.Array("job-1", 200, 2));
+  w.Run(1);
+  w.Submit(w.Gang("job-2", 4));
+  // A task of the array ends every second; the gang is ranked before what is left of it.
+  for (int i = 0; i < 30 && w.In("job-2", TaskState::kRunning) == 0; ++i) {
+    for (TaskReport& task : a.report.tasks) {
+      if (task.state != TaskState::kRunning) continue;
+      a.End(task.task, ExitWhy::kDone);
+      break;
+    }
+    w.Run(1);
+  }
+  EXPECT_EQ(w.In("job-2", TaskState::kRunning), 4U);
+}
+
+TEST(Gang, TwoOfThemDoNotBlockEachOtherHalfPlaced) {
+  GangWorld w;
+  w.settings.teams[0].cores_max = 0;
+  w.Lead();
+  w.Box("m-1", "east");
+  w.Box("m-2", "east");
+  w.Submit(w.Gang("job-1", 6));
+  w.Submit(w.Gang("job-2", 6));
+  w.Run(5);
+  EXPECT_EQ(w.In("job-1", TaskState::kRunning) + w.In("job-2", TaskState::kRunning), 6U);
+  EXPECT_EQ(w.In("job-1", TaskState::kGathering) + w.In("job-2", TaskState::kGathering), 0U);
+  w.Complete("job-1");
+  w.Complete("job-2");
+  w.Run(5);
+  EXPECT_EQ(w.Starts("job-1") + w.Starts("job-2"), 12U);
+}
+
+TEST(Gang, CancelledWhileItGathersOrRunsIsGone) {
+  for (const double after : {0.0, 3.0}) {
+    GangWorld w;
+    w.Lead();
+    w.Box("m-1", "east");
+    w.Box("m-2", "east");
+    w.Submit(w.Gang("job-1", 6));
+    w.Pass(0.5);
+    w.Run(after);
+    ASSERT_EQ(w.Ask(UserOp::kCancel, "job-1").state, JobState::kCancelled);
+    w.Run(2);
+    EXPECT_EQ(w.Attempts("job-1").size(), 0U);
+    EXPECT_EQ(w.Starts("job-1"), 6U);
+  }
+}
+
+TEST(Capacity, AGangThatMustBeInOneZoneIsRentedRoomInOne) {
+  Offer east{0, 0, false, 8, 0, 64, 1.0, 30, false, 0};
+  Offer west{0, 1, false, 8, 0, 64, 1.0, 30, false, 0};
+  Need need;
+  need.cores = 2;
+  need.memory_gb = 4;
+  std::vector<Node> bins(2);
+  for (uint32_t zone = 0; zone < 2; ++zone) {
+    bins[zone].zone = zone;
+    bins[zone].usable = true;
+    bins[zone].cores = 4 + 2 * zone;
+    bins[zone].memory_gb = 64;
+  }
+  // Together there is room for five of its tasks, in the better zone for three.
+  const auto rent = PlanRentals({east, west}, bins, {{need, 5, true}}, 10);
+  ASSERT_EQ(rent.size(), 1U);
+  EXPECT_EQ(rent[0].offer, 1U);
+  EXPECT_EQ(rent[0].count, 1);
+  EXPECT_TRUE(PlanRentals({east, west}, bins, {{need, 5, false}}, 10).empty());
+}
+
+}  // namespace
+}  // namespace deckhall
