--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -278,6 +278,7 @@
   Job& job = (*book_)[slot->job];
   if (now_running) {
     slot->running_since = clock_->Now();
+    job.gang_started = job.gang_started || slot->attempt >= job.gang_attempt;
     ++job.running;
   } else {
     slot->running_since = -1;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -103,7 +103,8 @@
   // Of a gang: its present attempt, see GangKeeper.
   uint64_t gang_attempt = 0;
   double gathering_since = 0;
-  bool gang_broken = false;  // a task of the attempt ended or failed: it can't complete
+  bool gang_started = false;  // a task of the attempt was seen running or saving
+  bool gang_broken = false;   // a task of the attempt ended or failed: it can't complete
 };
 
 // One attempt that is, may be, or was on a machine until it is cleared there.
--- a/src/leader/gang_keeper.cc
+++ b/src/leader/gang_keeper.cc
@@ -43,10 +43,9 @@
     if (slot->attempt != attempt.number) return;
     attempt.saving = attempt.saving || slot->state == TaskState::kSaving;
     if (slot->running_since < 0) return;
-    attempt.started = true;
     attempt.running_since = std::max(attempt.running_since, slot->running_since);
   });
-  attempt.started = attempt.started || attempt.saving;
+  attempt.started = attempt.running_since >= 0 || attempt.saving;
   return attempt;
 }
 
@@ -91,8 +90,9 @@
     // Started by an earlier leader.
     job.gang_attempt = attempt.number;
     job.gathering_since = clock_->Now();
-    job.gang_broken = false;
+    job.gang_started = job.gang_broken = false;
   }
+  job.gang_started = job.gang_started || attempt.started;
   ForEach(j, [this, &attempt](MachIdx mi, Slot* slot) {
     // What is left of an attempt before never comes together again.
     if (slot->keep && slot->attempt != attempt.number) fleet_->Unwant(mi, slot, 0);
@@ -100,7 +100,7 @@
   if (attempt.saving) {
     // A stop that an earlier leader did not finish: all tasks must be told soon.
     Stop(j, job.spec.save_s + kSaveMargin, "others of them save already");
-  } else if (job.gang_broken || (attempt.started && !job.waiting.empty())) {
+  } else if (job.gang_broken || (job.gang_started && !job.waiting.empty())) {
     // They would notice it later and end all the same.
     Stop(j, 0, "a task of the gang is gone");
   } else if (!job.waiting.empty() && TooLateToComplete(job)) {
@@ -119,7 +119,7 @@
   const JobIdx j = slot->job;
   const Job& job = (*book_)[j];
   const Attempt attempt = Look(j);
-  if (!attempt.started) {
+  if (!job.gang_started) {
     // It is replaced while the others gather.
     fleet_->Unwant(mi, slot, 0);
     return;
--- a/src/leader/gang_placer.cc
+++ b/src/leader/gang_placer.cc
@@ -28,7 +28,9 @@
   if (!job.told || job.waiting.empty() || job.unseen > 0) return;
   if (clock_->Now() < job.backoff_until) return;
   if (job.placed > 0) {
-    if (!job.gang_broken) Complete(j, open);
+    // An attempt that may have started is never completed, it ends.
+    const bool gathers = job.gang_attempt != 0 && !job.gang_started && !job.gang_broken;
+    if (gathers) Complete(j, open);
     return;
   }
   // The attempt before is over when its last task is: until then those count on their
@@ -122,7 +124,7 @@
   // Its tasks find each other by their attempt: one number for all of them.
   job.gang_attempt = fleet_->NewAttempt();
   job.gathering_since = clock_->Now();
-  job.gang_broken = false;
+  job.gang_started = job.gang_broken = false;
   for (uint32_t node : best.nodes) Put(j, node);
 }
 
