--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -245,7 +245,9 @@
     case WriteUrgency::kLazy:
       break;
   }
-  return room >= std::max(1.0, static_cast<double>(limits_.txn_ops) / 3);
+  const double kept =
+      std::max(1 + 2 * kRoomKeptForUrgent, static_cast<double>(limits_.txn_ops) / 3);
+  return room >= std::min(kept, limits_.write_burst * kBurstFilled);
 }
 
 bool RowStore::HasRoomFor(size_t puts, double room, WriteUrgency urgency) const {
