A replica that failed on bad machines is placed again

Cause: after three failures in a row one unproven task at a time was allowed, and replicas that run counted as unproven; nothing ended a service's streak.

--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -95,6 +95,7 @@
 
   // Failures without a success between, and the machines they were on.
   uint32_t fail_streak = 0;
+  double failed_at = -1e9;  // the last of them
   std::vector<uint32_t> failed_on;
   double backoff_until = 0;
   double waiting_since = 0;
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -113,6 +113,8 @@
   void Notice(MachIdx m);
   void SaveProgress();
   void CollectEndedJobs();
+  // Failures of services that run again.
+  void ForgetFailures();
   double GraceUntil() const;
 
   LeaderPorts ports_;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -30,6 +30,10 @@
 // the first, but the machine itself is soon back with its images.
 constexpr double kCutLeases = 3;
 
+// A service that runs, and of which nothing failed for so long, is in order: its replicas
+// do not complete, so no success tells it.
+constexpr double kProvenAfter = 30;
+
 // Between two questions to a machine that does not answer, at the most.
 constexpr double kRarest = 4;
 
@@ -158,6 +162,7 @@
       break;
     case ExitWhy::kError: {
       ++job.fail_streak;
+      job.failed_at = now;
       const bool new_place =
           std::find(job.failed_on.begin(), job.failed_on.end(), mi) == job.failed_on.end();
       if (new_place) job.failed_on.push_back(mi);
@@ -416,9 +421,19 @@
     if (fleet_[mi].notice_until >= 0) Notice(mi);
   }
   gangs_.Tick();
+  ForgetFailures();
   CollectEndedJobs();
 }
 
+void Leader::ForgetFailures() {
+  const double now = ports_.clock->Now();
+  for (JobIdx j : book_.live()) {
+    Job& job = book_[j];
+    if (!job.spec.service || job.fail_streak == 0) continue;
+    if (job.running > 0 && now - job.failed_at > kProvenAfter) job.fail_streak = 0;
+  }
+}
+
 double Leader::UnreachedFor() const {
   return unreached_since_ < 0 ? 0 : ports_.clock->Now() - unreached_since_;
 }
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -78,8 +78,10 @@
       contended_ && !job.spec.service && !job.guaranteed && now - job.waiting_since < Patience(job);
   need.here_only = here;
   if (InVain(need)) return;
-  // A job that keeps failing shows its worth with one task at a time.
-  if (job.fail_streak >= 3) most = std::min<size_t>(most, job.placed > 0 ? 0 : 1);
+  // A job that keeps failing shows its worth with one task at a time. Replicas that run
+  // have shown it: they never complete, and the missing ones would wait for ever.
+  const uint32_t unproven = job.spec.service ? job.placed - job.running : job.placed;
+  if (job.fail_streak >= 3) most = std::min<size_t>(most, unproven > 0 ? 0 : 1);
   const double reserve = Reserve(job);
   auto ordinary = [&] {
     return job.spec.service || rooms_->free_ordinary() - reserve + kEps >= job.spec.cores;
--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -539,5 +539,37 @@
   EXPECT_LE(work(400), work(40) * 1.2);
 }
 
+// Found by a hunt with machines that fail every task: after three failures in a row a
+// replica was never placed again, since services have no success that ends a streak. Idle
+// machines were kept for it all day.
+TEST(Served, AReplicaThatFailedOnBadMachinesIsPlacedAgain) {
+  World w;
+  w.cloud.refuse = true;
+  w.Lead();
+  w.Machine("m-1", "east");
+  w.Submit(w.Service("job-1", 2));
+  w.Pass(2);
+  for (int round = 0; round < 3; ++round) {
+    auto& bad = w.Machine("m-bad" + std::to_string(round), "west");
+    auto& good = w.workers.at["m-1:1"];
+    // The replica on the good machine that is listed last moves to the bad one, and fails.
+    const std::string task = good.Has("job-1/1") ? "job-1/1" : "job-1/0";
+    if (good.Count("job-1") == 2) good.End(task, ExitWhy::kError);
+    for (const char* id : {"job-1/0", "job-1/1"}) {
+      if (bad.Has(id)) bad.End(id, ExitWhy::kError);
+    }
+    w.Pass(1);
+    for (const char* id : {"job-1/0", "job-1/1"}) {
+      if (bad.Has(id)) bad.End(id, ExitWhy::kError);
+    }
+    w.Pass(1);
+  }
+  const JobIdx job = w.leader->book().Find("job-1");
+  ASSERT_GE(w.leader->book()[job].fail_streak, 3U);
+  w.Pass(60);
+  EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").running, 2U);
+  EXPECT_EQ(w.leader->book()[job].fail_streak, 0U);
+}
+
 }  // namespace
 }  // namespace deckhall
