--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -102,7 +102,7 @@
   for (uint32_t i = 0; i < pages_.size(); ++i) {
     const Page& p = pages_[i];
     // A page on its way takes no new row: that would have to wait for its answer.
-    // Nor does one whose split is not confirmed.
+    // Nor does one whose split is not confirmed: the row would wait for all of it.
     if (p.in_flight || p.origin != kNoPage) continue;
     if (p.reserved + bytes > limits_.value_bytes) continue;
     if (best == UINT32_MAX || p.reserved > pages_[best].reserved) best = i;
@@ -406,7 +406,6 @@
         ResolvePages(answer.rows.back().key);
         return;
       }
-      ConfirmSplits();
     }
     resolving_ = false;
     retry_at_ = clock_->Now() + 0.05;
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -116,8 +116,6 @@
   // The rejected split of this origin is taken back.
   void UndoSplit(uint32_t origin);
   void ConfirmSplit(uint32_t origin);
-  // Splits whose transaction was carried out though its answer was lost.
-  void ConfirmSplits();
   // The pages that go out with this one: itself, or all of its split.
   std::vector<uint32_t> UnitOf(uint32_t page) const;
   // The state service refused the transaction for what it contains.
--- a/src/state/row_store_split.cc
+++ b/src/state/row_store_split.cc
@@ -99,14 +99,6 @@
   }
 }
 
-void RowStore::ConfirmSplits() {
-  for (uint32_t i = 0; i < pages_.size(); ++i) {
-    const std::vector<uint32_t>& parts = pages_[i].parts;
-    // Nothing but the split's own transaction creates its new pages.
-    if (!parts.empty() && pages_[parts.back()].version != 0) ConfirmSplit(i);
-  }
-}
-
 std::vector<uint32_t> RowStore::UnitOf(uint32_t page) const {
   return pages_[page].parts.empty() ? std::vector<uint32_t>{page} : pages_[page].parts;
 }
