--- a/src/app/tuning.cc
+++ b/src/app/tuning.cc
@@ -60,6 +60,8 @@
        "a job within its guarantee waits so long before others' tasks are stopped for it"},
       {"rank", "gang-reserve-s", &Tuning::gang_reserve_s, 0, 600,
        "room is kept for a gang that has found none for so long"},
+      {"rank", "gang-long-fetch-s", &Tuning::gang_long_fetch_s, 0, 100000,
+       "for a gang whose fetch takes longer, tasks it may claim are stopped where the image is"},
       {"rank", "long-fetch-s", &Tuning::long_fetch_s, 0, 100000,
        "for a replica whose fetch takes longer, arrays are stopped where the image is"},
       {"rank", "stop-for-image", &Tuning::stop_for_image, 0, 1000,
--- a/src/app/tuning.h
+++ b/src/app/tuning.h
@@ -21,6 +21,7 @@
   double passed_over_s = 120;
   double preempt_after_s = 3;
   double gang_reserve_s = 1;
+  double gang_long_fetch_s = 8;
   double long_fetch_s = 1;
   double stop_for_image = 4;
   // fleet
--- a/src/leader/gang_placer.cc
+++ b/src/leader/gang_placer.cc
@@ -121,6 +121,7 @@
     if (clock_->Now() - job.waiting_since >= tuning_->gang_reserve_s) Reserve(j, zone_sets);
     return;
   }
+  if (best.last_start > tuning_->gang_long_fetch_s && MakeRoomAtImage(j, best, zone_sets)) return;
   // Its tasks find each other by their attempt: one number for all of them.
   job.gang_attempt = fleet_->NewAttempt();
   job.gathering_since = clock_->Now();
@@ -128,6 +129,23 @@
   for (uint32_t node : best.nodes) Put(j, node);
 }
 
+// As for replicas: no more work is lost than the fetch would hold up.
+bool GangPlacer::MakeRoomAtImage(JobIdx j, const Plan& otherwise,
+                                 const std::vector<std::vector<char>>& zone_sets) {
+  const Job& job = (*book_)[j];
+  // What is stopped is gone sooner than the image would be there.
+  if (clock_->Now() - job.waiting_since > tuning_->gang_long_fetch_s / 2) return false;
+  // Machines on which it failed count as if they started it late; that is no fetch.
+  if (!job.failed_on.empty()) return false;
+  Preemption::Request request;
+  request.job = j;
+  request.image_here = true;
+  request.most_loss = tuning_->stop_for_image * otherwise.last_start * job.spec.cores;
+  const std::vector<MachIdx> machines = preemption_->MakeGangRoom(request, zone_sets);
+  for (MachIdx mi : machines) rooms_->nodes()[mi].usable = false;
+  return !machines.empty();
+}
+
 bool GangPlacer::WasThere(JobIdx j, uint32_t task, uint64_t attempt, MachIdx mi) const {
   const std::vector<Slot>& slots = (*fleet_)[mi].slots;
   return std::any_of(slots.begin(), slots.end(), [j, task, attempt](const Slot& s) {
@@ -188,7 +206,9 @@
   const Job& job = (*book_)[j];
   std::vector<MachIdx> machines;
   if (clock_->Now() - job.waiting_since >= tuning_->preempt_after_s) {
-    machines = preemption_->MakeGangRoom(j, zone_sets);
+    Preemption::Request request;
+    request.job = j;
+    machines = preemption_->MakeGangRoom(request, zone_sets);
   }
   for (const std::vector<char>& zones : zone_sets) {
     if (!machines.empty()) break;
--- a/src/leader/gang_placer.h
+++ b/src/leader/gang_placer.h
@@ -27,6 +27,10 @@
   };
 
   void Start(JobIdx j, const std::vector<uint32_t>& open);
+  // Stops others' tasks where the image is, if the gang may claim their room, rather than
+  // start with the last fetch of the plan.
+  bool MakeRoomAtImage(JobIdx j, const Plan& otherwise,
+                       const std::vector<std::vector<char>>& zone_sets);
   // The missing tasks join under the same attempt number.
   void Complete(JobIdx j, const std::vector<uint32_t>& open);
   // The sets of zones in which the whole gang may be: one zone each if it must be in one.
--- a/src/leader/preemption.cc
+++ b/src/leader/preemption.cc
@@ -103,6 +103,10 @@
   return node;
 }
 
+bool Preemption::HasImage(const Job& job, const Machine& m) const {
+  return std::find(m.images.begin(), m.images.end(), job.image) != m.images.end();
+}
+
 void Preemption::Claim(MachIdx mi, const Need& need) {
   Amounts& claim = claims_[mi];
   claim.cores += need.cores;
@@ -140,10 +144,7 @@
     if (!room.usable || !Allows(need, room.type, room.zone, room.spot)) continue;
     if (!request.ordinary && !room.spot) continue;
     ++rooms_->steps;
-    if (request.image_here &&
-        std::find(m.images.begin(), m.images.end(), job.image) == m.images.end()) {
-      continue;
-    }
+    if (request.image_here && !HasImage(job, m)) continue;
     if (job.spec.service && m.lent_cores + room.cores + kEps < job.spec.cores) continue;
     // Room on its way already is enough, unless it is spoken for.
     Node node = RoomToCome(mi);
@@ -187,9 +188,9 @@
   }
 }
 
-std::vector<MachIdx> Preemption::MakeGangRoom(JobIdx j,
+std::vector<MachIdx> Preemption::MakeGangRoom(const Request& request,
                                               const std::vector<std::vector<char>>& zone_sets) {
-  const Job& job = (*book_)[j];
+  const Job& job = (*book_)[request.job];
   const size_t count = job.waiting.size();
   if (count > kMostPlaces || !MayAsk(job)) return {};
   std::vector<Choice> best;
@@ -201,12 +202,14 @@
       const Node& room = rooms_->nodes()[mi];
       if (!room.usable || !Allows(need, room.type, room.zone, room.spot)) continue;
       ++rooms_->steps;
+      if (request.image_here && !HasImage(job, (*fleet_)[mi])) continue;
       AddChoices(job, need, mi, &choices);
     }
     if (choices.size() < count) continue;
     std::stable_sort(choices.begin(), choices.end(),
                      [](const Choice& a, const Choice& b) { return a.loss < b.loss; });
     choices.resize(count);
+    if (choices.back().loss > request.most_loss) continue;
     double loss = 0;
     for (const Choice& choice : choices) loss += choice.loss;
     if (best.empty() || loss < least) {
--- a/src/leader/preemption.h
+++ b/src/leader/preemption.h
@@ -30,9 +30,11 @@
   };
   // Makes room for single tasks; returns for how many it is on its way.
   size_t MakeRoom(const Request& request);
-  // Makes room for the whole gang in one of the sets of zones, or stops nothing. Returns
-  // the machines on which the room is, or is on its way.
-  std::vector<MachIdx> MakeGangRoom(JobIdx j, const std::vector<std::vector<char>>& zone_sets);
+  // Makes room for the whole gang in one of the sets of zones, or stops nothing; of the
+  // request, `most` and `ordinary` do not count. Returns the machines on which the room is,
+  // or is on its way.
+  std::vector<MachIdx> MakeGangRoom(const Request& request,
+                                    const std::vector<std::vector<char>>& zone_sets);
 
  private:
   struct Amounts {
@@ -55,6 +57,7 @@
   // to `chosen`. Negative: no room can be made.
   double Loss(const Job& job, const Machine& m, Node* node, std::vector<size_t>* chosen) const;
   // Places for the gang's tasks on one machine, the cheapest first.
+  bool HasImage(const Job& job, const Machine& m) const;
   void AddChoices(const Job& job, const Need& need, MachIdx mi, std::vector<Choice>* out) const;
   void Claim(MachIdx mi, const Need& need);
   void Stop(const Job& job, const Choice& choice);
--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -333,6 +333,35 @@
   }
 }
 
+// Found by hunts: images of 1.6 GB took 16 s on machines that fetch slowly, while machines
+// that held them ran idle work.
+TEST(Gang, AnUrgentOneGoesWhereItsImageIsRatherThanFetchItForLong) {
+  for (const bool lower : {true, false}) {
+    GangWorld w;
+    w.settings.teams[0].cores_max = 0;
+    w.Lead();
+    auto& a = w.Box("m-1", "east");
+    w.Submit(w.Gang("job-1", 4));
+    w.Run(2);
+    w.Complete("job-1");
+    w.Run(2);
+    JobSpec idle = w.Array("job-2", 4);
+    idle.priority = lower ? Priority::kIdle : Priority::kUrgent;
+    idle.estimate_s = 300;
+    w.Submit(idle);
+    w.Run(1);
+    ASSERT_EQ(a.Count("job-2"), 4U);
+    auto& b = w.Box("m-2", "east");
+    JobSpec gang = w.Gang("job-3", 4);
+    gang.priority = Priority::kUrgent;
+    gang.image_gb = 20;  // a fetch of 20 s
+    w.Submit(gang);
+    w.Run(4);
+    EXPECT_EQ(a.Count("job-3"), lower ? 4U : 0U);
+    EXPECT_EQ(b.Count("job-3"), lower ? 0U : 4U);
+  }
+}
+
 TEST(Gang, SmallTasksDoNotTakeAllFreedPieces) {
   GangWorld w;
   w.settings.teams[0].cores_max = 0;
