--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -343,6 +343,7 @@
   oracle = std::make_unique<Oracle>(settings.teams, settings.cancel_s);
   shells_.resize(nodes);
   store_.value_limit = static_cast<size_t>(settings.state_now.value_kb * 1024);
+  store_.ops_limit = static_cast<size_t>(settings.state_now.txn_ops);
   for (size_t i = 0; i < nodes; ++i) Boot(i);
   At(clock_.now + 1, [this] { Watch(); });
 }
@@ -599,8 +600,9 @@
   if (here) return refuse(ExitWhy::kInUse);
   const JobSpec& spec = specs_.at(job);
   if (Used(*w) + spec.cores > cloud_.types[0].cores + 1e-6) return refuse(ExitWhy::kNoRoom);
+  if (spec.gang) t.state = TaskState::kGathering;
   w->report.tasks.push_back(t);
-  if (!spec.service) w->ends_at[c.task] = clock_.now + run_s + task * spread_s;
+  if (!spec.service && !spec.gang) w->ends_at[c.task] = clock_.now + run_s + task * spread_s;
   oracle->Started(clock_.now, commanded_at, job, task,
                   {w->report.machine, w->report.type, w->report.zone, w->report.spot, 0, 0});
 }
@@ -778,7 +780,12 @@
   After(kPollEvery * jitter(random_), [this, id] { Poll(id); });
 }
 
+void Cluster::LowerStateLimits() {
+  store_.value_limit = static_cast<size_t>(settings.state_kept.value_kb * 1024);
+  store_.ops_limit = static_cast<size_t>(settings.state_kept.txn_ops);
+}
 void Cluster::Watch() {
+  StepGangs();
   std::vector<Oracle::Place> open;
   for (const auto& [name, w] : workers) {
     const double now = clock_.now;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -61,6 +61,8 @@
   // All in the zone, controllers too, from all outside it, the regional services included.
   void CutZone(const std::string& zone, double for_s, CutMode mode);
   void StateOutage(double for_s);
+  // The limits that were announced come.
+  void LowerStateLimits();
   SimWorker& AddWorker(const std::string& zone, bool spot = false);
   SimWorker& AddWorker(const std::string& name, const std::string& zone, bool spot);
   // Stops with all that is on it.
@@ -159,6 +161,19 @@
   void Launch(SimWorker* w, double commanded_at, const Command& c);
   void EndTask(SimWorker* w, TaskReport* t, ExitWhy why);
   double Used(const SimWorker& w) const;
+  // Tasks of gangs start, end, and notice lost ones (cluster_gangs.cc).
+  struct GangTask {
+    SimWorker* worker;
+    TaskReport* task;
+  };
+  struct GangAttempt {
+    bool started = false;
+    double gathers_since = 0;
+    double ends_at = 0;
+    double lost_at = -1;
+  };
+  void StepGangs();
+  void StepGang(const JobSpec& spec, const std::vector<GangTask>& there, GangAttempt* attempt);
   void Poll(const std::string& id);
   void Ask(UserOp op, const std::string& id, const std::function<void(const UserResponse&)>& done);
   void Watch();
@@ -185,6 +200,7 @@
   };
   std::vector<Watching> watching_;
   std::map<std::string, JobSpec> specs_;
+  std::map<std::pair<std::string, uint64_t>, GangAttempt> gangs_;  // by job and attempt
   std::set<std::string> accepted_;
   std::set<std::string> over_;
   std::set<std::string> cancelled_;
--- a/tests/mix_test.cc
+++ b/tests/mix_test.cc
@@ -14,7 +14,9 @@
 class Mix {
  public:
   explicit Mix(uint64_t seed)
-      : c_(seed, seed % 3 == 0 ? 5 : 3, Times(seed)), nodes_(seed % 3 == 0 ? 5 : 3) {}
+      : c_(seed, seed % 3 == 0 ? 5 : 3, Times(seed)),
+        gang_draws_(seed),
+        nodes_(seed % 3 == 0 ? 5 : 3) {}
 
   std::string Play() {
     // Sometimes so many that a zone is told to be cut off.
@@ -27,6 +29,8 @@
     for (int i = 0; i < 4; ++i) NewJob();
     for (int i = 0; i < 30; ++i) {
       c_.Run(Between(0.05, 8));
+      // The announced limits of the state service come amid the troubles.
+      if (i == 15) c_.LowerStateLimits();
       if (Chance(0.5)) NewJob();
       if (Chance(0.3) && !jobs_.empty()) c_.Cancel(Any(jobs_));
       if (Chance(0.3) && !jobs_.empty()) {
@@ -66,6 +70,10 @@
     s.cancel_s = s.lease_s + beyond[seed / 3 % 3];
     s.state_now.value_kb = s.state_kept.value_kb = seed % 5 < 2 ? 1.5 : 8;
     s.time_bound_ms = seed % 4 < 2 ? 1000 : 100;
+    if (seed % 3 == 0) {
+      s.state_kept.value_kb = std::min(s.state_kept.value_kb, 2.0);
+      s.state_kept.txn_ops = 4;
+    }
     return s;
   }
   bool Chance(double p) { return std::uniform_real_distribution<double>(0, 1)(c_.random()) < p; }
@@ -97,6 +105,12 @@
       s.zone = kZones[Index(3)];
     if (Chance(0.3)) s.spot = true;
     if (Chance(0.4)) s.team = "red";
+    // Drawn apart, so that the other draws of a seed stay what they were.
+    const bool gang = !s.service && s.tasks > 1 && gang_draws_() % 3 == 0;
+    if (gang) {
+      s.gang = true;
+      s.tasks = std::min<uint32_t>(s.tasks, 4);
+    }
     jobs_.push_back(id);
     c_.run_s = Between(2, 60);
     c_.Submit(s);
@@ -200,6 +214,7 @@
   }
 
   Cluster c_;
+  std::mt19937_64 gang_draws_;
   size_t nodes_;
   std::vector<std::string> jobs_;
 };
--- a/tests/oracle.cc
+++ b/tests/oracle.cc
@@ -113,12 +113,15 @@
 
 bool Oracle::FitsSomewhere(const Job& job, const std::vector<Place>& open) const {
   const JobSpec& spec = *job.spec;
+  // A gang needs room for all its tasks that are not there, and within the limit.
+  const size_t together = spec.gang ? spec.tasks - job.on.size() : 1;
   for (const Team& team : teams_) {
     if (team.name == spec.team && team.cores_max > 0 &&
-        TeamCores(team.name) + spec.cores > team.cores_max + kEps) {
+        TeamCores(team.name) + spec.cores * static_cast<double>(together) > team.cores_max + kEps) {
       return false;
     }
   }
+  if (spec.gang) return GangFits(job, open, together);
   return std::any_of(open.begin(), open.end(), [&](const Place& p) {
     const bool type_ok = !spec.types || std::find(spec.types->begin(), spec.types->end(), p.type) !=
                                             spec.types->end();
@@ -127,6 +130,24 @@
   });
 }
 
+bool Oracle::GangFits(const Job& job, const std::vector<Place>& open, size_t together) const {
+  const JobSpec& spec = *job.spec;
+  std::map<std::string, size_t> places;  // by zone
+  for (const Place& p : open) {
+    const bool type_ok = !spec.types || std::find(spec.types->begin(), spec.types->end(), p.type) !=
+                                            spec.types->end();
+    if (!type_ok || (p.spot && !spec.spot) || !ZoneAllows(job, p.zone)) continue;
+    const double fit = std::min(p.cores / spec.cores, p.memory_gb / spec.memory_gb);
+    places[p.zone] += static_cast<size_t>(std::max(0.0, fit + kEps));
+  }
+  size_t all = 0;
+  for (auto& [zone, count] : places) {
+    if (spec.one_zone && count >= together) return true;
+    if (spec.apart) count = std::min<size_t>(count, (spec.tasks + 1) / 2);
+    all += count;
+  }
+  return !spec.one_zone && all >= together;
+}
 void Oracle::Step(double now, const std::vector<Place>& open) {
   for (auto& [id, job] : jobs_) {
     if (job.accepted_at < 0) continue;
--- a/tests/oracle.h
+++ b/tests/oracle.h
@@ -69,6 +69,7 @@
 
   void Broke(double now, const std::string& rule, const std::string& what);
   bool FitsSomewhere(const Job& job, const std::vector<Place>& open) const;
+  bool GangFits(const Job& job, const std::vector<Place>& open, size_t together) const;
   bool ZoneAllows(const Job& job, const std::string& zone) const;
   double TeamCores(const std::string& team) const;
 
