--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -52,7 +52,7 @@
                                 {o, "value_kb", &limits->value_kb},
                                 {o, "txn_ops", &ops}};
   for (const NumberField& field : fields) {
-    const std::string bad = ReadPositive(field.in, field.name, field.to);
+    std::string bad = ReadPositive(field.in, field.name, field.to);
     if (!bad.empty()) return bad;
   }
   limits->txn_ops = static_cast<int>(std::clamp(ops, 1.0, 10000.0));
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -78,7 +78,7 @@
   MarkChanged(mi);
 }
 
-Slot& Fleet::AddSlot(MachIdx mi, Slot slot) {
+PlacedAttempt& Fleet::AddAttempt(MachIdx mi, PlacedAttempt slot) {
   Machine& m = machines_[mi];
   if (slot.job != kNone) {
     Job& job = (*book_)[slot.job];
@@ -87,8 +87,9 @@
     slot.gpus = job.spec.gpus;
     slot.memory_gb = job.spec.memory_gb;
     slot.service = job.spec.service;
-    slot.lodger = !job.spec.service && !job.spec.gang && job.spec.priority < Priority::kProduction;
-    ++job.slots;
+    slot.preemptible =
+        !job.spec.service && !job.spec.gang && job.spec.priority < Priority::kProduction;
+    ++job.attempts;
     job.on.push_back(mi);
     if (slot.team >= team_use_.size()) team_use_.resize(slot.team + 1);
     team_use_[slot.team].cores += slot.cores;
@@ -99,13 +100,13 @@
   m.used_gpus += slot.gpus;
   m.used_memory += slot.memory_gb;
   if (slot.service) m.service_cores += slot.cores;
-  if (slot.lodger) m.lent_cores += slot.cores;
-  m.slots.push_back(std::move(slot));
+  if (slot.preemptible) m.lent_cores += slot.cores;
+  m.attempts.push_back(std::move(slot));
   Changed(mi);
-  return m.slots.back();
+  return m.attempts.back();
 }
 
-void Fleet::Vacate(MachIdx mi, Slot* slot) {
+void Fleet::Vacate(MachIdx mi, PlacedAttempt* slot) {
   Machine& m = machines_[mi];
   if (slot->gone) return;
   slot->gone = true;
@@ -114,7 +115,7 @@
   m.used_gpus -= slot->gpus;
   m.used_memory -= slot->memory_gb;
   if (slot->service) m.service_cores -= slot->cores;
-  if (slot->lodger) m.lent_cores -= slot->cores;
+  if (slot->preemptible) m.lent_cores -= slot->cores;
   if (m.busy == 0) {
     // Sums of decimal amounts end at nothing, not beside it.
     m.used_cores = m.used_gpus = m.used_memory = m.service_cores = m.lent_cores = 0;
@@ -132,16 +133,16 @@
   Changed(mi);
 }
 
-void Fleet::EraseSlot(MachIdx mi, size_t at) {
+void Fleet::EraseAttempt(MachIdx mi, size_t at) {
   Machine& m = machines_[mi];
-  Vacate(mi, &m.slots[at]);
-  if (m.slots[at].job != kNone) --(*book_)[m.slots[at].job].slots;
-  m.slots.erase(m.slots.begin() + static_cast<ptrdiff_t>(at));
+  Vacate(mi, &m.attempts[at]);
+  if (m.attempts[at].job != kNone) --(*book_)[m.attempts[at].job].attempts;
+  m.attempts.erase(m.attempts.begin() + static_cast<ptrdiff_t>(at));
   Changed(mi);
 }
 
-Slot* Fleet::FindSlot(Machine& m, const TaskReport& t) {
-  for (Slot& s : m.slots) {
+PlacedAttempt* Fleet::FindAttempt(Machine& m, const TaskReport& t) {
+  for (PlacedAttempt& s : m.attempts) {
     if (s.attempt == t.attempt && s.name == t.task) return &s;
   }
   return nullptr;
@@ -168,7 +169,7 @@
     Changed(mi);
   }
   if (r.session > m.session) {
-    if (!m.slots.empty()) LoseAll(mi, "a new session began there");
+    if (!m.attempts.empty()) LoseAll(mi, "a new session began there");
     // Its lease ran out, so our answers may not reach it: reports alone are no proof
     // that it hears. It gets nothing before it has shown a token younger than this.
     ++m.token;
@@ -197,31 +198,31 @@
     if (TermOf(r.token) < term_) return true;
     Account(mi);
   }
-  std::vector<char> listed(m.slots.size(), 0);
-  const size_t known = m.slots.size();
+  std::vector<char> listed(m.attempts.size(), 0);
+  const size_t known = m.attempts.size();
   for (const TaskReport& t : r.tasks) {
-    Slot* slot = FindSlot(m, t);
+    PlacedAttempt* slot = FindAttempt(m, t);
     if (slot == nullptr) {
       Adopt(mi, t);
       continue;
     }
-    const auto at = static_cast<size_t>(slot - m.slots.data());
+    const auto at = static_cast<size_t>(slot - m.attempts.data());
     if (at < known) listed[at] = 1;
     Apply(mi, slot, t);
   }
   for (size_t i = known; i-- > 0;) {
     if (listed[i] != 0) continue;
-    Slot& slot = m.slots[i];
+    PlacedAttempt& slot = m.attempts[i];
     if (slot.seen) {
       // Cleared, or lost there.
       if (!slot.gone) FreeTask(mi, slot);
-      EraseSlot(mi, i);
+      EraseAttempt(mi, i);
     } else if (slot.launch_token == 0 || slot.launch_token < r.token) {
       // Never sent, or the worker's higher token keeps that launch out for good.
       slot.launch_token = 0;
       if (!slot.keep) {
         FreeTask(mi, slot);
-        EraseSlot(mi, i);
+        EraseAttempt(mi, i);
       } else {
         MarkChanged(mi);
       }
@@ -235,15 +236,15 @@
   if (m.failing_since < 0) m.failing_since = clock_->Now();
   ++m.fails;
   // The stops did not arrive: the next report gets them.
-  for (Slot& s : m.slots) s.stop_sent = -1e9;
+  for (PlacedAttempt& s : m.attempts) s.stop_sent = -1e9;
   m.stale = true;
   if (m.fails < 2) return;
   // What was never sent there can go elsewhere at once.
-  for (size_t i = m.slots.size(); i-- > 0;) {
-    const Slot& s = m.slots[i];
+  for (size_t i = m.attempts.size(); i-- > 0;) {
+    const PlacedAttempt& s = m.attempts[i];
     if (s.gone || s.seen || s.launch_token != 0) continue;
     FreeTask(mi, s);
-    EraseSlot(mi, i);
+    EraseAttempt(mi, i);
   }
 }
 
@@ -272,7 +273,7 @@
   Process(mi, r);
 }
 
-void Fleet::RecountRunning(Slot* slot, bool now_running) {
+void Fleet::RecountRunning(PlacedAttempt* slot, bool now_running) {
   const bool before = slot->running_since >= 0;
   if (before == now_running || slot->job == kNone) return;
   Job& job = (*book_)[slot->job];
@@ -286,7 +287,7 @@
   }
 }
 
-void Fleet::Apply(MachIdx mi, Slot* slot, const TaskReport& t) {
+void Fleet::Apply(MachIdx mi, PlacedAttempt* slot, const TaskReport& t) {
   Machine& m = machines_[mi];
   slot->seen = true;
   if (slot->gone) return;
@@ -308,7 +309,7 @@
 
 void Fleet::Adopt(MachIdx mi, const TaskReport& t) {
   Machine& m = machines_[mi];
-  Slot slot;
+  PlacedAttempt slot;
   slot.name = t.task;
   slot.attempt = t.attempt;
   slot.seen = true;
@@ -338,10 +339,10 @@
   if (!slot.keep && t.state != TaskState::kExited) {
     spdlog::info("machine {}: {} (attempt {}) is not wanted there", m.name, t.task, t.attempt);
   }
-  Apply(mi, &AddSlot(mi, std::move(slot)), t);
+  Apply(mi, &AddAttempt(mi, std::move(slot)), t);
 }
 
-void Fleet::FreeTask(MachIdx mi, const Slot& slot) {
+void Fleet::FreeTask(MachIdx mi, const PlacedAttempt& slot) {
   if (slot.job == kNone) return;
   Job& job = (*book_)[slot.job];
   if (slot.running_since >= 0 && job.running > 0) --job.running;
@@ -353,7 +354,7 @@
   }
 }
 
-void Fleet::Exited(MachIdx mi, Slot* slot) {
+void Fleet::Exited(MachIdx mi, PlacedAttempt* slot) {
   Machine& m = machines_[mi];
   Vacate(mi, slot);
   spdlog::debug("{} on {} exited, why {}", slot->name, m.name, static_cast<int>(slot->why));
@@ -364,7 +365,7 @@
       if (!job.spec.gang && t.phase == TaskPhase::kPlaced &&
           (t.machine != mi || t.attempt != slot->attempt)) {
         // Done here while another attempt is wanted elsewhere: that one goes.
-        for (Slot& other : machines_[t.machine].slots) {
+        for (PlacedAttempt& other : machines_[t.machine].attempts) {
           if (other.job == slot->job && other.task == slot->task && !other.gone) {
             Unwant(t.machine, &other, 0);
           }
@@ -402,7 +403,7 @@
 void Fleet::Place(MachIdx mi, JobIdx j, uint32_t task, uint64_t attempt, bool passed) {
   Machine& m = machines_[mi];
   const Job& job = (*book_)[j];
-  Slot slot;
+  PlacedAttempt slot;
   slot.job = j;
   slot.task = task;
   slot.attempt = attempt;
@@ -412,10 +413,10 @@
   book_->Place(j, task, mi, slot.attempt);
   (*book_)[j].starved_since = clock_->Now();
   spdlog::debug("{} goes to {} (attempt {})", slot.name, m.name, slot.attempt);
-  AddSlot(mi, std::move(slot));
+  AddAttempt(mi, std::move(slot));
 }
 
-void Fleet::Unwant(MachIdx mi, Slot* slot, double grace_s) {
+void Fleet::Unwant(MachIdx mi, PlacedAttempt* slot, double grace_s) {
   MarkChanged(mi);
   if (!slot->keep && grace_s >= slot->grace_s) return;
   if (!slot->keep) slot->stop_sent = -1e9;  // a shorter grace is told at once
@@ -426,7 +427,7 @@
 void Fleet::UnwantJob(JobIdx j) {
   const std::vector<MachIdx> on = (*book_)[j].on;
   for (MachIdx m : on) {
-    for (Slot& s : machines_[m].slots) {
+    for (PlacedAttempt& s : machines_[m].attempts) {
       if (s.job == j && !s.gone) Unwant(m, &s, 0);
     }
   }
@@ -434,13 +435,13 @@
 
 void Fleet::UnwantUnseen(JobIdx j) {
   for (MachIdx m : (*book_)[j].on) {
-    for (Slot& s : machines_[m].slots) {
+    for (PlacedAttempt& s : machines_[m].attempts) {
       if (s.job == j && !s.gone && !s.seen) Unwant(m, &s, 0);
     }
   }
 }
 
-bool Fleet::MayForget(const Slot& s) const {
+bool Fleet::MayForget(const PlacedAttempt& s) const {
   if (!s.gone) return false;
   // A finished task is durable before its machine forgets it.
   if (s.why != ExitWhy::kDone || s.job == kNone) return true;
@@ -465,7 +466,7 @@
   if (m.seen_token < m.token) return true;
   const double now = clock_->Now();
   // What ended takes no room: it is cleared with the next command or report.
-  for (const Slot& s : m.slots) {
+  for (const PlacedAttempt& s : m.attempts) {
     if (s.gone) continue;
     if (!s.keep) {
       if (!s.seen || now - s.stop_sent > kStopAgain) return true;
@@ -476,7 +477,7 @@
   return false;
 }
 
-Command Fleet::StopOf(Slot* s) const {
+Command Fleet::StopOf(PlacedAttempt* s) const {
   const double now = clock_->Now();
   if (s->stop_first < 0) s->stop_first = now;
   // Told long ago and still there: no more time to save.
@@ -489,18 +490,18 @@
   const double now = clock_->Now();
   std::vector<Command> out;
   if (!m.accounted) return out;
-  for (size_t i = m.slots.size(); i-- > 0;) {
-    const Slot& s = m.slots[i];
+  for (size_t i = m.attempts.size(); i-- > 0;) {
+    const PlacedAttempt& s = m.attempts[i];
     if (s.keep || s.seen) continue;
     if (s.launch_token == 0) {
       FreeTask(mi, s);
-      EraseSlot(mi, i);
+      EraseAttempt(mi, i);
     } else if (s.launch_token == m.token) {
       // Its launch may still come; a higher token shuts it out.
       ++m.token;
     }
   }
-  for (Slot& s : m.slots) {
+  for (PlacedAttempt& s : m.attempts) {
     if (s.gone && MayForget(s)) {
       out.push_back({CommandOp::kForget, s.name, s.attempt, 0});
     } else if (!s.gone && !s.keep && s.seen && now - s.stop_sent > kStopAgain) {
@@ -510,7 +511,7 @@
   }
   // A machine that has not shown that it hears gets nothing new.
   if (!launch || !Hears(m)) return out;
-  for (Slot& s : m.slots) {
+  for (PlacedAttempt& s : m.attempts) {
     if (s.gone || !s.keep || s.seen) continue;
     out.push_back({CommandOp::kStart, s.name, s.attempt, 0});
     s.launch_token = m.token;
@@ -520,7 +521,7 @@
 
 std::vector<Command> Fleet::Stops(MachIdx mi) {
   std::vector<Command> out;
-  for (Slot& s : machines_[mi].slots) {
+  for (PlacedAttempt& s : machines_[mi].attempts) {
     if (!s.gone && !s.keep && s.seen) out.push_back(StopOf(&s));
   }
   return out;
@@ -536,12 +537,12 @@
 void Fleet::LoseAll(MachIdx mi, const char* why) {
   Machine& m = machines_[mi];
   size_t lost = 0;
-  for (size_t i = m.slots.size(); i-- > 0;) {
-    if (!m.slots[i].gone) {
+  for (size_t i = m.attempts.size(); i-- > 0;) {
+    if (!m.attempts[i].gone) {
       ++lost;
-      FreeTask(mi, m.slots[i]);
+      FreeTask(mi, m.attempts[i]);
     }
-    EraseSlot(mi, i);
+    EraseAttempt(mi, i);
   }
   if (lost > 0) spdlog::info("machine {}: {} tasks lost: {}", m.name, lost, why);
   Changed(mi);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -66,7 +66,7 @@
   // A number never used for an attempt before.
   uint64_t NewAttempt() { return next_attempt_++; }
   // Wants the slot gone.
-  void Unwant(MachIdx m, Slot* slot, double grace_s);
+  void Unwant(MachIdx m, PlacedAttempt* slot, double grace_s);
   void UnwantJob(JobIdx job);
   // What to tell the machine now. Launches only if `launch`.
   std::vector<Command> Commands(MachIdx m, bool launch);
@@ -96,27 +96,27 @@
   void AllStale();
 
   // A task ended; `slot.why` tells how. Called after the books were changed.
-  std::function<void(MachIdx, const Slot&)> on_exit;
+  std::function<void(MachIdx, const PlacedAttempt&)> on_exit;
   // A machine that an earlier leader used is accounted for.
   std::function<void()> on_accounted = [] {};
   // Something changed that the placer should look at.
   bool changed = false;
 
  private:
-  Slot* FindSlot(Machine& m, const TaskReport& t);
+  PlacedAttempt* FindAttempt(Machine& m, const TaskReport& t);
   void Adopt(MachIdx m, const TaskReport& t);
-  void Apply(MachIdx m, Slot* slot, const TaskReport& t);
-  void Exited(MachIdx m, Slot* slot);
-  void FreeTask(MachIdx m, const Slot& slot);
-  void RecountRunning(Slot* slot, bool now_running);
-  bool MayForget(const Slot& slot) const;
+  void Apply(MachIdx m, PlacedAttempt* slot, const TaskReport& t);
+  void Exited(MachIdx m, PlacedAttempt* slot);
+  void FreeTask(MachIdx m, const PlacedAttempt& slot);
+  void RecountRunning(PlacedAttempt* slot, bool now_running);
+  bool MayForget(const PlacedAttempt& slot) const;
   // What was not seen of a job that is done is not to be launched again.
   void UnwantUnseen(JobIdx job);
-  Slot& AddSlot(MachIdx m, Slot slot);
+  PlacedAttempt& AddAttempt(MachIdx m, PlacedAttempt slot);
   // The slot takes no room any more.
-  void Vacate(MachIdx m, Slot* slot);
-  void EraseSlot(MachIdx m, size_t at);
-  Command StopOf(Slot* slot) const;
+  void Vacate(MachIdx m, PlacedAttempt* slot);
+  void EraseAttempt(MachIdx m, size_t at);
+  Command StopOf(PlacedAttempt* slot) const;
   void Changed(MachIdx m);
   void BeganAnew(MachIdx m, const Report& report);
 
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -75,16 +75,16 @@
   std::vector<Task> tasks;
   std::vector<uint32_t> waiting;  // stack of waiting tasks
   std::vector<uint32_t> on;       // machines its attempts take room on, one entry each
-  uint32_t slots = 0;             // all its attempts on machines, ended ones included
+  uint32_t attempts = 0;          // all its attempts on machines, ended ones included
   uint32_t unseen = 0;
   uint32_t placed = 0;
   uint32_t done = 0;
   uint32_t running = 0;  // seen running
   RowId row = kNoRow;
-  std::vector<RowId> chunks;  // further rows of finished tasks
-  bool told = false;          // accepted durably
-  bool end_told = false;      // its end is durable; stays true when its row is rewritten
-  bool from_store = false;    // accepted in an earlier term
+  std::vector<RowId> chunks;      // further rows of finished tasks
+  bool acknowledged = false;      // accepted durably
+  bool end_acknowledged = false;  // its end is durable; stays true when its row is rewritten
+  bool from_store = false;        // accepted in an earlier term
 
   // Ranking.
   double left = 0;    // core-seconds left in the imagined run
@@ -109,7 +109,7 @@
 };
 
 // One attempt that is, may be, or was on a machine until it is cleared there.
-struct Slot {
+struct PlacedAttempt {
   JobIdx job = kNone;
   uint32_t task = 0;
   uint64_t attempt = 0;
@@ -126,8 +126,8 @@
   double launched_at = 0;
   double running_since = -1;
   bool service = false;
-  bool lodger = false;  // an array's task that gives way to replicas
-  bool passed = false;  // its job went first since it had been passed over for long
+  bool preemptible = false;  // an array's task that gives way to replicas
+  bool passed = false;       // its job went first since it had been passed over for long
   // What it takes, and from whose limit.
   uint32_t team = kNone;
   double cores = 0;
@@ -195,8 +195,8 @@
   double unanswered_since = -1;
 
   std::vector<uint32_t> images;  // likely cached
-  std::vector<Slot> slots;
-  // Sums over the slots that take room.
+  std::vector<PlacedAttempt> attempts;
+  // Sums over the attempts that take room.
   uint32_t busy = 0;
   double used_cores = 0;
   double used_gpus = 0;
--- a/src/leader/rooms.cc
+++ b/src/leader/free_capacity.cc
@@ -1,4 +1,4 @@
-#include "leader/rooms.h"
+#include "leader/free_capacity.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-Rooms::Rooms(JobBook* book, Fleet* fleet, Rentals* rentals, RowStore* store, const Clock* clock,
-             const Settings* settings, const Tuning* tuning)
+FreeCapacity::FreeCapacity(JobBook* book, Fleet* fleet, Rentals* rentals, RowStore* store,
+                           const Clock* clock, const Settings* settings, const Tuning* tuning)
     : book_(book),
       fleet_(fleet),
       rentals_(rentals),
@@ -22,18 +22,18 @@
       settings_(settings),
       tuning_(tuning) {}
 
-const Team* Rooms::TeamOf(uint32_t team) const {
+const Team* FreeCapacity::TeamOf(uint32_t team) const {
   return team < teams_.size() ? teams_[team] : nullptr;
 }
 
-bool Rooms::MayBeOn(const Job& job, const Machine& m) {
+bool FreeCapacity::MayBeOn(const Job& job, const Machine& m) {
   if (m.spot && !job.spec.spot) return false;
   if (job.zone != kNone && m.zone != kNone && job.zone != m.zone) return false;
   if (job.types.empty() || m.type == kNone) return true;
   return m.type < job.types.size() && job.types[m.type] != 0;
 }
 
-bool Rooms::Usable(const Machine& m) const {
+bool FreeCapacity::Usable(const Machine& m) const {
   const double now = clock_->Now();
   // Reports alone are no proof that it hears: a machine whose commands get lost
   // would be given tasks again and again.
@@ -43,12 +43,12 @@
          now >= m.no_room_until && HeardLately(m);
 }
 
-bool Rooms::HeardLately(const Machine& m) const {
+bool FreeCapacity::HeardLately(const Machine& m) const {
   const double most = std::max(tuning_->silent_s, settings_->report_s * 1.6);
   return clock_->Now() - m.heard_at < most;
 }
 
-void Rooms::Remake(MachIdx mi) {
+void FreeCapacity::Remake(MachIdx mi) {
   Machine& m = (*fleet_)[mi];
   m.stale = false;
   ++steps;
@@ -67,7 +67,7 @@
     n.total_cores = n.cores = n.gpus = n.memory_gb = 0;
   }
   n.coming.clear();
-  for (const Slot& s : m.slots) {
+  for (const PlacedAttempt& s : m.attempts) {
     if (s.gone || !s.keep || s.job == kNone || (s.seen && s.state != TaskState::kFetching)) {
       continue;
     }
@@ -75,7 +75,7 @@
   }
 }
 
-void Rooms::Refresh() {
+void FreeCapacity::Refresh() {
   if (teams_.size() < book_->teams.size()) {
     teams_.assign(book_->teams.size(), nullptr);
     for (const Team& t : settings_->teams) {
@@ -121,7 +121,7 @@
 }
 
 // What services use behind a cut. The room is there when the leases end.
-double Rooms::Threatened() const {
+double FreeCapacity::Threatened() const {
   double cores = 0;
   if (std::find(cut_.begin(), cut_.end(), 1) == cut_.end()) return cores;
   for (MachIdx mi : fleet_->active()) {
@@ -134,7 +134,7 @@
   return cores;
 }
 
-void Rooms::ServiceArrived(const Job& job) {
+void FreeCapacity::ServiceArrived(const Job& job) {
   const double now = clock_->Now();
   if (rate_at_ < 0) rate_at_ = now;
   service_rate_ *= std::exp(-(now - rate_at_) / kRateMemory);
@@ -142,7 +142,7 @@
   service_rate_ += job.spec.cores * job.spec.tasks / kRateMemory;
 }
 
-void Rooms::CountUse() {
+void FreeCapacity::CountUse() {
   use_ = fleet_->team_use();
   use_.resize(book_->teams.size());
   Use hidden;
@@ -174,7 +174,7 @@
   }
 }
 
-bool Rooms::TeamRoom(const Job& job) const {
+bool FreeCapacity::TeamRoom(const Job& job) const {
   const Team* team = TeamOf(job.team);
   if (team == nullptr) return false;
   const Use& u = use_[job.team];
@@ -182,13 +182,13 @@
   return team->gpus_max <= 0 || u.gpus + job.spec.gpus <= team->gpus_max + kEps;
 }
 
-double Rooms::TeamLeft(uint32_t team) const {
+double FreeCapacity::TeamLeft(uint32_t team) const {
   const Team* t = TeamOf(team);
   return t != nullptr && t->cores_max > 0 ? t->cores_max - use_[team].cores : kNoLimit;
 }
 
-bool Rooms::ZoneRoom(const Job& job, const std::vector<uint32_t>& on,
-                     std::vector<char>* zones) const {
+bool FreeCapacity::ZoneRoom(const Job& job, const std::vector<uint32_t>& on,
+                            std::vector<char>* zones) const {
   if (!job.spec.one_zone && !job.spec.apart) return true;
   // A task that may be on an unknown machine is in an unknown zone.
   if (job.unseen > 0) return false;
@@ -206,8 +206,8 @@
   return true;
 }
 
-Need Rooms::NeedOf(const Job& job, const std::vector<char>& zones,
-                   const std::vector<uint32_t>& siblings) const {
+Need FreeCapacity::NeedOf(const Job& job, const std::vector<char>& zones,
+                          const std::vector<uint32_t>& siblings) const {
   Need n;
   n.cores = job.spec.cores;
   n.gpus = job.spec.gpus;
@@ -228,7 +228,7 @@
   return n;
 }
 
-void Rooms::Take(const Job& job, uint32_t node) {
+void FreeCapacity::Take(const Job& job, uint32_t node) {
   Node& n = nodes_[node];
   use_[job.team].cores += job.spec.cores;
   use_[job.team].gpus += job.spec.gpus;
@@ -239,7 +239,7 @@
   (n.spot ? free_spot_ : free_ordinary_) -= job.spec.cores;
 }
 
-std::vector<uint32_t> Rooms::Open(double least_cores) const {
+std::vector<uint32_t> FreeCapacity::Open(double least_cores) const {
   std::vector<uint32_t> open;
   for (MachIdx mi : fleet_->active()) {
     const Node& n = nodes_[mi];
--- a/src/leader/rooms.h
+++ b/src/leader/free_capacity.h
@@ -13,10 +13,10 @@
 
 namespace deckhall {
 
-class Rooms {
+class FreeCapacity {
  public:
-  Rooms(JobBook* book, Fleet* fleet, Rentals* rentals, RowStore* store, const Clock* clock,
-        const Settings* settings, const Tuning* tuning);
+  FreeCapacity(JobBook* book, Fleet* fleet, Rentals* rentals, RowStore* store, const Clock* clock,
+               const Settings* settings, const Tuning* tuning);
 
   // Takes in what changed since the last call.
   void Refresh();
--- a/src/leader/gang_keeper.cc
+++ b/src/leader/gang_keeper.cc
@@ -28,7 +28,7 @@
   std::sort(machines.begin(), machines.end());
   machines.erase(std::unique(machines.begin(), machines.end()), machines.end());
   for (MachIdx mi : machines) {
-    for (Slot& slot : (*fleet_)[mi].slots) {
+    for (PlacedAttempt& slot : (*fleet_)[mi].attempts) {
       if (slot.job == j && !slot.gone) visit(mi, &slot);
     }
   }
@@ -36,10 +36,10 @@
 
 GangKeeper::Attempt GangKeeper::Look(JobIdx j) {
   Attempt attempt;
-  ForEach(j, [&attempt](MachIdx, Slot* slot) {
+  ForEach(j, [&attempt](MachIdx, PlacedAttempt* slot) {
     if (slot->keep) attempt.number = std::max(attempt.number, slot->attempt);
   });
-  ForEach(j, [&attempt](MachIdx, Slot* slot) {
+  ForEach(j, [&attempt](MachIdx, PlacedAttempt* slot) {
     if (slot->attempt != attempt.number) return;
     attempt.saving = attempt.saving || slot->state == TaskState::kSaving;
     if (slot->running_since < 0) return;
@@ -49,7 +49,7 @@
   return attempt;
 }
 
-void GangKeeper::TaskEnded(const Slot& slot) {
+void GangKeeper::TaskEnded(const PlacedAttempt& slot) {
   Job& job = (*book_)[slot.job];
   if (!job.spec.gang || slot.attempt != job.gang_attempt) return;
   switch (slot.why) {
@@ -66,7 +66,7 @@
 
 void GangKeeper::Stop(JobIdx j, double grace_s, const char* why) {
   size_t stopped = 0;
-  ForEach(j, [this, grace_s, &stopped](MachIdx mi, Slot* slot) {
+  ForEach(j, [this, grace_s, &stopped](MachIdx mi, PlacedAttempt* slot) {
     if (!slot->keep) return;
     fleet_->Unwant(mi, slot, grace_s);
     ++stopped;
@@ -93,7 +93,7 @@
     job.gang_started = job.gang_broken = false;
   }
   job.gang_started = job.gang_started || attempt.started;
-  ForEach(j, [this, &attempt](MachIdx mi, Slot* slot) {
+  ForEach(j, [this, &attempt](MachIdx mi, PlacedAttempt* slot) {
     // What is left of an attempt before never comes together again.
     if (slot->keep && slot->attempt != attempt.number) fleet_->Unwant(mi, slot, 0);
   });
@@ -115,7 +115,7 @@
   }
 }
 
-void GangKeeper::MachineTaken(MachIdx mi, Slot* slot, double seconds_left) {
+void GangKeeper::MachineTaken(MachIdx mi, PlacedAttempt* slot, double seconds_left) {
   const JobIdx j = slot->job;
   const Job& job = (*book_)[j];
   const Attempt attempt = Look(j);
--- a/src/leader/gang_keeper.h
+++ b/src/leader/gang_keeper.h
@@ -18,11 +18,11 @@
              const Settings* settings);
 
   // A task of the gang ended there.
-  void TaskEnded(const Slot& slot);
+  void TaskEnded(const PlacedAttempt& slot);
   // Looks at all gangs that are on machines.
   void Tick();
   // The cloud takes a machine away that holds this task of a gang.
-  void MachineTaken(MachIdx mi, Slot* slot, double seconds_left);
+  void MachineTaken(MachIdx mi, PlacedAttempt* slot, double seconds_left);
 
  private:
   // What is known of the present attempt.
@@ -33,7 +33,7 @@
     double running_since = -1;
   };
 
-  using Visit = std::function<void(MachIdx, Slot*)>;
+  using Visit = std::function<void(MachIdx, PlacedAttempt*)>;
   // Calls `visit` for each attempt of the job that takes room on a machine.
   void ForEach(JobIdx j, const Visit& visit);
   Attempt Look(JobIdx j);
--- a/src/leader/gang_placer.cc
+++ b/src/leader/gang_placer.cc
@@ -14,18 +14,18 @@
 
 }  // namespace
 
-GangPlacer::GangPlacer(JobBook* book, Fleet* fleet, Rooms* rooms, Preemption* preemption,
-                       const Clock* clock, const Tuning* tuning)
+GangPlacer::GangPlacer(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity,
+                       Preemption* preemption, const Clock* clock, const Tuning* tuning)
     : book_(book),
       fleet_(fleet),
-      rooms_(rooms),
+      free_capacity_(free_capacity),
       preemption_(preemption),
       clock_(clock),
       tuning_(tuning) {}
 
 void GangPlacer::Place(JobIdx j, const std::vector<uint32_t>& open) {
   const Job& job = (*book_)[j];
-  if (!job.told || job.waiting.empty() || job.unseen > 0) return;
+  if (!job.acknowledged || job.waiting.empty() || job.unseen > 0) return;
   if (clock_->Now() < job.backoff_until) return;
   if (job.placed > 0) {
     // An attempt that may have started is never completed, it ends.
@@ -51,15 +51,15 @@
 
 bool GangPlacer::WithinLimit(const Job& job, size_t tasks) const {
   const auto n = static_cast<double>(tasks);
-  const Team* team = rooms_->TeamOf(job.team);
+  const Team* team = free_capacity_->TeamOf(job.team);
   if (team == nullptr) return false;
-  const Use& use = rooms_->UseOf(job.team);
+  const Use& use = free_capacity_->UseOf(job.team);
   if (team->cores_max > 0 && use.cores + n * job.spec.cores > team->cores_max + kEps) return false;
   return team->gpus_max <= 0 || use.gpus + n * job.spec.gpus <= team->gpus_max + kEps;
 }
 
 void GangPlacer::TakeOnTrial(const Job& job, uint32_t node) {
-  Node& n = rooms_->nodes()[node];
+  Node& n = free_capacity_->nodes()[node];
   n.cores -= job.spec.cores;
   n.gpus -= job.spec.gpus;
   n.memory_gb -= job.spec.memory_gb;
@@ -67,7 +67,7 @@
 }
 
 void GangPlacer::GiveBack(const Job& job, uint32_t node) {
-  Node& n = rooms_->nodes()[node];
+  Node& n = free_capacity_->nodes()[node];
   n.cores += job.spec.cores;
   n.gpus += job.spec.gpus;
   n.memory_gb += job.spec.memory_gb;
@@ -78,12 +78,12 @@
                       const std::vector<uint32_t>& open, Plan* plan) {
   const size_t count = job.waiting.size();
   std::vector<char> allowed = zones;
-  const Need need = rooms_->NeedOf(job, allowed, plan->nodes);
-  Picker picker(&need, &rooms_->nodes(), open);
-  rooms_->steps += open.size();
+  const Need need = free_capacity_->NeedOf(job, allowed, plan->nodes);
+  Picker picker(&need, &free_capacity_->nodes(), open);
+  free_capacity_->steps += open.size();
   while (plan->nodes.size() < count) {
     // How the zones may be used changes with each task if they must be apart.
-    if (job.spec.apart && !rooms_->ZoneRoom(job, plan->nodes, &allowed)) break;
+    if (job.spec.apart && !free_capacity_->ZoneRoom(job, plan->nodes, &allowed)) break;
     const int at = picker.Next(true);
     if (at < 0) break;
     const auto node = static_cast<uint32_t>(at);
@@ -100,7 +100,7 @@
 void GangPlacer::Put(JobIdx j, uint32_t node) {
   Job& job = (*book_)[j];
   fleet_->Place(node, j, job.waiting.back(), job.gang_attempt);
-  rooms_->Take(job, node);
+  free_capacity_->Take(job, node);
   (*fleet_)[node].idle_since = -1;
 }
 
@@ -142,13 +142,13 @@
   request.image_here = true;
   request.most_loss = tuning_->stop_for_image * otherwise.last_start * job.spec.cores;
   const std::vector<MachIdx> machines = preemption_->MakeGangRoom(request, zone_sets);
-  for (MachIdx mi : machines) rooms_->nodes()[mi].usable = false;
+  for (MachIdx mi : machines) free_capacity_->nodes()[mi].usable = false;
   return !machines.empty();
 }
 
 bool GangPlacer::WasThere(JobIdx j, uint32_t task, uint64_t attempt, MachIdx mi) const {
-  const std::vector<Slot>& slots = (*fleet_)[mi].slots;
-  return std::any_of(slots.begin(), slots.end(), [j, task, attempt](const Slot& s) {
+  const std::vector<PlacedAttempt>& attempts = (*fleet_)[mi].attempts;
+  return std::any_of(attempts.begin(), attempts.end(), [j, task, attempt](const PlacedAttempt& s) {
     return s.job == j && s.task == task && s.attempt == attempt;
   });
 }
@@ -158,10 +158,10 @@
   if (!WithinLimit(job, job.waiting.size())) return;
   std::vector<char> zones;
   std::vector<uint32_t> on = job.on;
-  if (!rooms_->ZoneRoom(job, on, &zones)) return;
-  const Need need = rooms_->NeedOf(job, zones, on);
-  Picker picker(&need, &rooms_->nodes(), open);
-  rooms_->steps += open.size();
+  if (!free_capacity_->ZoneRoom(job, on, &zones)) return;
+  const Need need = free_capacity_->NeedOf(job, zones, on);
+  Picker picker(&need, &free_capacity_->nodes(), open);
+  free_capacity_->steps += open.size();
   while (!job.waiting.empty()) {
     const int at = picker.Next(true);
     if (at < 0) return;
@@ -172,13 +172,13 @@
     on.push_back(node);
     Put(j, node);
     picker.Again(at);
-    if (job.spec.apart && !rooms_->ZoneRoom(job, on, &zones)) return;
+    if (job.spec.apart && !free_capacity_->ZoneRoom(job, on, &zones)) return;
   }
 }
 
 std::vector<MachIdx> GangPlacer::Likely(const Job& job, const std::vector<char>& zones) const {
-  const Need need = rooms_->NeedOf(job, zones, {});
-  const std::vector<Node>& nodes = rooms_->nodes();
+  const Need need = free_capacity_->NeedOf(job, zones, {});
+  const std::vector<Node>& nodes = free_capacity_->nodes();
   std::vector<MachIdx> order;
   for (MachIdx mi : fleet_->active()) {
     const Node& n = nodes[mi];
@@ -214,7 +214,7 @@
     if (!machines.empty()) break;
     machines = Likely(job, zones);
   }
-  for (MachIdx mi : machines) rooms_->nodes()[mi].usable = false;
+  for (MachIdx mi : machines) free_capacity_->nodes()[mi].usable = false;
 }
 
 }  // namespace deckhall
--- a/src/leader/gang_placer.h
+++ b/src/leader/gang_placer.h
@@ -3,15 +3,15 @@
 
 #include <vector>
 
+#include "leader/free_capacity.h"
 #include "leader/preemption.h"
-#include "leader/rooms.h"
 
 namespace deckhall {
 
 class GangPlacer {
  public:
-  GangPlacer(JobBook* book, Fleet* fleet, Rooms* rooms, Preemption* preemption, const Clock* clock,
-             const Tuning* tuning);
+  GangPlacer(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, Preemption* preemption,
+             const Clock* clock, const Tuning* tuning);
 
   void BeginPass() { reservations_ = 0; }
   // Starts a gang whose tasks all wait, or replaces lost tasks of one that still gathers.
@@ -53,7 +53,7 @@
 
   JobBook* book_;
   Fleet* fleet_;
-  Rooms* rooms_;
+  FreeCapacity* free_capacity_;
   Preemption* preemption_;
   const Clock* clock_;
   const Tuning* tuning_;
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -72,11 +72,12 @@
       rentals_(ports.cloud, &store_, &fleet_, &book_, ports.clock, term, RentalsOf(*settings)),
       // Two rows of hints share a page.
       hints_(&store_, &book_, &fleet_, LimitsOf(*settings).value_bytes / 2 - kPageRest),
-      rooms_(&book_, &fleet_, &rentals_, &store_, ports.clock, settings, tuning),
-      ranking_(&book_, &rooms_, ports.clock, tuning),
+      free_capacity_(&book_, &fleet_, &rentals_, &store_, ports.clock, settings, tuning),
+      ranking_(&book_, &free_capacity_, ports.clock, tuning),
       gangs_(&book_, &fleet_, &ranking_, ports.clock, settings),
-      placer_(&book_, &fleet_, &rooms_, &ranking_, &rentals_, ports.clock, tuning),
-      planner_(&book_, &fleet_, &rooms_, &ranking_, &rentals_, ports.clock, settings, tuning),
+      placer_(&book_, &fleet_, &free_capacity_, &ranking_, &rentals_, ports.clock, tuning),
+      planner_(&book_, &fleet_, &free_capacity_, &ranking_, &rentals_, ports.clock, settings,
+               tuning),
       direct_(MessagesPerSecond(*settings, *tuning) * tuning->direct_share,
               std::max(20.0, MessagesPerSecond(*settings, *tuning) * tuning->direct_share / 4)),
       probes_(MessagesPerSecond(*settings, *tuning) * tuning->probe_share,
@@ -87,7 +88,7 @@
   store_.on_deposed = [this] {
     if (on_deposed) on_deposed("a write met another term");
   };
-  fleet_.on_exit = [this](MachIdx m, const Slot& s) { TaskEnded(m, s); };
+  fleet_.on_exit = [this](MachIdx m, const PlacedAttempt& s) { TaskEnded(m, s); };
   fleet_.on_accounted = [this] { release_ = true; };
 }
 
@@ -154,7 +155,7 @@
   r.running = job.running;
   r.state = job.running > 0 ? JobState::kRunning : JobState::kPending;
   if (job.life == JobLife::kLive) return r;
-  if (!job.end_told) return r;  // nobody was told of the end yet
+  if (!job.end_acknowledged) return r;  // nobody was told of the end yet
   r.state = job.life == JobLife::kDone ? JobState::kDone : JobState::kCancelled;
   r.running = 0;
   return r;
@@ -168,7 +169,7 @@
   const bool trusted = ports_.lease->Trusted();
   const JobIdx j = book_.Find(ask.id);
   // Final states never change: they may be told without the lease.
-  if (j != kNone && book_[j].end_told) {
+  if (j != kNone && book_[j].end_acknowledged) {
     done(State(j, 200));
     return;
   }
@@ -188,7 +189,7 @@
   }
   if (j == kNone) {
     done(Unknown());
-  } else if (!book_[j].told) {
+  } else if (!book_[j].acknowledged) {
     done(Unavailable("being accepted"));
   } else {
     done(State(j, 200));
@@ -254,7 +255,7 @@
 
 void Leader::Submit(const UserRequest& ask, UserDone done) {
   JobIdx j = book_.Find(ask.id);
-  if (j != kNone && book_[j].told) {
+  if (j != kNone && book_[j].acknowledged) {
     done(State(j, 200));
     return;
   }
@@ -284,7 +285,7 @@
     Job& job = book_[j];
     job.left = ranking_.WorkLeft(job);
     job.waiting_since = job.starved_since = ports_.clock->Now();
-    if (job.spec.service) rooms_.ServiceArrived(job);
+    if (job.spec.service) free_capacity_.ServiceArrived(job);
     ranking_.JobsChanged();
   }
   waiters_.push_back({j, UserOp::kSubmit, std::move(done), 201, ports_.clock->Now()});
@@ -297,7 +298,7 @@
     done(Unknown());
     return;
   }
-  if (!book_[j].told) {
+  if (!book_[j].acknowledged) {
     done(Unavailable("being accepted"));
     return;
   }
@@ -319,8 +320,8 @@
 void Leader::Committed() {
   for (JobIdx j : book_.live()) {
     Job& job = book_[j];
-    if (!job.told && book_.Durable(j)) {
-      job.told = true;
+    if (!job.acknowledged && book_.Durable(j)) {
+      job.acknowledged = true;
       fleet_.changed = true;
       spdlog::info("job {} accepted: {} of {}, {} tasks of {} cores, estimate {} s, deadline {} s",
                    job.id, job.spec.job_class, job.spec.team, job.spec.tasks, job.spec.cores,
@@ -330,7 +331,7 @@
   for (JobIdx j : book_.ended_jobs()) {
     // Once told it stays told: the row may be rewritten later, the answer may not
     // go back.
-    if (book_.Durable(j)) book_[j].end_told = true;
+    if (book_.Durable(j)) book_[j].end_acknowledged = true;
   }
   const bool trusted = ports_.lease->Trusted();
   std::vector<Waiter> ready;
@@ -341,7 +342,7 @@
   waiters_ = std::move(rest);
   for (Waiter& w : ready) {
     Job& job = book_[w.job];
-    job.told = true;
+    job.acknowledged = true;
     const bool final = job.life != JobLife::kLive;
     w.done(trusted || final ? State(w.job, w.status) : Unavailable("the lease ran out"));
   }
@@ -350,7 +351,7 @@
 void Leader::SaveProgress() {
   for (JobIdx j : book_.live()) {
     Job& job = book_[j];
-    if (job.spec.service || !job.told) continue;
+    if (job.spec.service || !job.acknowledged) continue;
     if (job.saved_left >= 0 && std::abs(job.left - job.saved_left) < 0.1 * job.saved_left + 1) {
       continue;
     }
@@ -365,8 +366,8 @@
   const std::vector<JobIdx> ended_jobs = book_.ended_jobs();
   for (JobIdx j : ended_jobs) {
     Job& job = book_[j];
-    if (now - job.ended_at < keep || job.unseen > 0 || !job.end_told) continue;
-    if (job.slots == 0) book_.DropSpec(j);
+    if (now - job.ended_at < keep || job.unseen > 0 || !job.end_acknowledged) continue;
+    if (job.attempts == 0) book_.DropSpec(j);
   }
 }
 
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -64,7 +64,7 @@
   // other nodes: the fault is then on this node's way to them. 0: they do.
   double UnreachedFor() const;
   // Machines and nodes looked at so far, to bound the work as the fleet grows.
-  uint64_t steps() const { return rooms_.steps + looked_at_; }
+  uint64_t steps() const { return free_capacity_.steps + looked_at_; }
   // Reports and answers that did not fit what is known.
   uint64_t implausible_reports() const { return implausible_reports_; }
 
@@ -88,7 +88,7 @@
   const char* Full(const JobSpec& spec);
   void Committed();
   void ReleaseUnseen();
-  void TaskEnded(MachIdx m, const Slot& slot);
+  void TaskEnded(MachIdx m, const PlacedAttempt& slot);
   void Direct(MachIdx m);
   void DirectDone(MachIdx m, const WorkerAnswer& answer, Stamp asked);
   void Sweep();
@@ -127,7 +127,7 @@
   Fleet fleet_;
   Rentals rentals_;
   CacheHints hints_;
-  Rooms rooms_;
+  FreeCapacity free_capacity_;
   Ranking ranking_;
   GangKeeper gangs_;
   Placer placer_;
--- a/src/leader/leader_cuts.cc
+++ b/src/leader/leader_cuts.cc
@@ -110,7 +110,7 @@
                    name, heard, known);
     }
   }
-  rooms_.SetCut(cut_);
+  free_capacity_.SetCut(cut_);
   for (MachIdx mi : fleet_.active()) {
     Machine& m = fleet_[mi];
     const bool cut = m.zone != kNone && cut_[m.zone] != 0 && now - m.heard_at >= window;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -21,9 +21,9 @@
 constexpr size_t kFleetToJudge = 6;
 // Of the questions of the last second: with hardly an answer among so many, the way is
 // lost, however few of a large fleet could be asked yet.
-constexpr double kFade = 0.5;
+constexpr double kQuestionsDecay = 0.5;
 constexpr double kQuestionsToJudge = 12;
-constexpr double kHardlyAny = 0.1;
+constexpr double kFewAnswersShare = 0.1;
 // The same, with no answer at all for so long.
 constexpr double kNoAnswerFor = 1;
 // A machine behind a cut is given up after so many leases: its tasks are gone after
@@ -35,11 +35,11 @@
 constexpr double kProvenAfter = 30;
 
 // Between two questions to a machine that does not answer, at the most.
-constexpr double kRarest = 4;
+constexpr double kLongestProbePause = 4;
 
 // While machines are being lost, the others are asked after so much more often.
-constexpr double kAlarm = 3;
-constexpr double kAlarmFor = 3;
+constexpr double kFasterProbes = 3;
+constexpr double kFasterProbesFor = 3;
 
 }  // namespace
 
@@ -135,7 +135,7 @@
   return reply;
 }
 
-void Leader::TaskEnded(MachIdx mi, const Slot& slot) {
+void Leader::TaskEnded(MachIdx mi, const PlacedAttempt& slot) {
   Machine& m = fleet_[mi];
   const double now = ports_.clock->Now();
   if (slot.job == kNone) return;
@@ -210,7 +210,7 @@
       Job& job = book_[j];
       if (!job.full || job.unseen == 0) continue;
       const bool possible = std::any_of(kinds.begin(), kinds.end(), [this, &job](MachIdx k) {
-        return Rooms::MayBeOn(job, fleet_[k]);
+        return FreeCapacity::MayBeOn(job, fleet_[k]);
       });
       if (possible) continue;
       for (uint32_t t = 0; t < job.tasks.size(); ++t) book_.SeenFree(j, t);
@@ -290,8 +290,9 @@
     if (!a.has_report || a.report.machine != machine.name || !Plausible(a.report)) {
       ++machine.probe_fails;
       // Those known to be silent must not take the whole budget.
-      machine.probe_after = ports_.clock->Now() +
-                            std::min(kRarest, 0.1 * std::pow(2.0, std::min(machine.fails, 6) - 1));
+      machine.probe_after =
+          ports_.clock->Now() +
+          std::min(kLongestProbePause, 0.1 * std::pow(2.0, std::min(machine.fails, 6) - 1));
       fleet_.ProbeFailed(mi);
       return;
     }
@@ -348,7 +349,7 @@
   const bool waited_for = m.may_hold && !m.accounted;
   if (!m.up && !waited_for) return;
   // Also while its return waits for the cloud.
-  if (!m.slots.empty() && m.accounted && fleet_.LeaseOver(m, now, began_)) {
+  if (!m.attempts.empty() && m.accounted && fleet_.LeaseOver(m, now, began_)) {
     fleet_.LoseAll(mi, "its lease ran out");
   }
   if (waited_for && fleet_.LeaseOver(m, now, began_)) {
@@ -387,9 +388,10 @@
   }
   looked_at_ += fleet_.active().size();
   const auto fleet = static_cast<double>(up);
-  answered_ *= kFade;
-  unanswered_ *= kFade;
-  const bool hardly_any = unanswered_ > kQuestionsToJudge && answered_ < unanswered_ * kHardlyAny;
+  answered_ *= kQuestionsDecay;
+  unanswered_ *= kQuestionsDecay;
+  const bool hardly_any =
+      unanswered_ > kQuestionsToJudge && answered_ < unanswered_ * kFewAnswersShare;
   const bool none = in_a_row_ > kQuestionsToJudge && now - last_answer_ > kNoAnswerFor;
   const bool way_lost = up >= kFleetToJudge && (hardly_any || none);
   // Most of a former leader's machines not heard yet: they may all be deaf, or the way is
@@ -414,7 +416,7 @@
   // As often as the budget allows, and rather while machines are being lost.
   const double rate = MessagesPerSecond(*settings_, *tuning_) * tuning_->probe_share;
   probe_every_ = static_cast<double>(busy) / rate;
-  if (now - lost_at_ < kAlarmFor) probe_every_ /= kAlarm;
+  if (now - lost_at_ < kFasterProbesFor) probe_every_ /= kFasterProbes;
   probe_every_ = std::max(tuning_->probe_s, probe_every_);
   for (MachIdx mi : fleet_.active()) {
     Watch(mi);
@@ -441,7 +443,7 @@
 void Leader::Notice(MachIdx mi) {
   Machine& m = fleet_[mi];
   const double left = m.notice_until - ports_.clock->Now();
-  for (Slot& s : m.slots) {
+  for (PlacedAttempt& s : m.attempts) {
     if (s.gone || !s.keep || s.job == kNone) continue;
     const Job& job = book_[s.job];
     if (job.spec.gang) {
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -12,17 +12,17 @@
 
 }  // namespace
 
-Placer::Placer(JobBook* book, Fleet* fleet, Rooms* rooms, Ranking* ranking, Rentals* rentals,
-               const Clock* clock, const Tuning* tuning)
+Placer::Placer(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, Ranking* ranking,
+               Rentals* rentals, const Clock* clock, const Tuning* tuning)
     : book_(book),
       fleet_(fleet),
-      rooms_(rooms),
+      free_capacity_(free_capacity),
       ranking_(ranking),
       rentals_(rentals),
       clock_(clock),
       tuning_(tuning),
-      preemption_(book, fleet, rooms, clock),
-      gangs_(book, fleet, rooms, &preemption_, clock, tuning) {}
+      preemption_(book, fleet, free_capacity, clock),
+      gangs_(book, fleet, free_capacity, &preemption_, clock, tuning) {}
 
 // The paper's delay scheduling: while jobs compete, one that would first have to
 // fetch its image lets the room pass, for as long as the fetch would take.
@@ -42,19 +42,19 @@
 double Placer::Reserve(const Job& job) const {
   const bool starved = clock_->Now() - job.starved_since > tuning_->passed_over_s / 2;
   if (job.spec.service || starved) return 0;
-  return rooms_->headroom() * tuning_->headroom_free;
+  return free_capacity_->headroom() * tuning_->headroom_free;
 }
 
 void Placer::Put(JobIdx j, uint32_t node, uint64_t attempt) {
   Job& job = (*book_)[j];
   const bool passed = !job.spec.service && ranking_->PassedOver(job, clock_->Now());
   fleet_->Place(node, j, job.waiting.back(), attempt, passed);
-  rooms_->Take(job, node);
+  free_capacity_->Take(job, node);
   (*fleet_)[node].idle_since = -1;
 }
 
-bool Placer::InVain(const Need& need) const {
-  return std::any_of(vain_.begin(), vain_.end(), [&need](const Vain& v) {
+bool Placer::FailedBefore(const Need& need) const {
+  return std::any_of(failed_needs_.begin(), failed_needs_.end(), [&need](const FailedNeed& v) {
     return need.cores + kEps >= v.cores && need.memory_gb + kEps >= v.memory_gb &&
            need.gpus + kEps >= v.gpus && (v.zone == UINT32_MAX || v.zone == need.zone) &&
            (v.spot_ok || !need.spot_ok) &&
@@ -65,37 +65,38 @@
 void Placer::PlaceSome(JobIdx j, bool here, size_t most) {
   Job& job = (*book_)[j];
   const double now = clock_->Now();
-  if (!job.told || job.waiting.empty() || now < job.backoff_until) return;
-  if (!rooms_->TeamRoom(job)) return;
+  if (!job.acknowledged || job.waiting.empty() || now < job.backoff_until) return;
+  if (!free_capacity_->TeamRoom(job)) return;
   std::vector<char> zones;
   // Where its tasks are, those on their way out included.
   std::vector<uint32_t> on;
   if (job.spec.service || job.spec.one_zone || job.spec.apart) on = job.on;
-  if (!rooms_->ZoneRoom(job, on, &zones)) return;
-  Need need = rooms_->NeedOf(job, zones, on);
+  if (!free_capacity_->ZoneRoom(job, on, &zones)) return;
+  Need need = free_capacity_->NeedOf(job, zones, on);
   need.siblings = &on;
   need.cached_only =
       contended_ && !job.spec.service && !job.guaranteed && now - job.waiting_since < Patience(job);
   need.here_only = here;
-  if (InVain(need)) return;
+  if (FailedBefore(need)) return;
   // A job that keeps failing shows its worth with one task at a time. Replicas that run
   // have shown it: they never complete, and the missing ones would wait for ever.
   const uint32_t unproven = job.spec.service ? job.placed - job.running : job.placed;
   if (job.fail_streak >= 3) most = std::min<size_t>(most, unproven > 0 ? 0 : 1);
   const double reserve = Reserve(job);
   auto ordinary = [&] {
-    return job.spec.service || rooms_->free_ordinary() - reserve + kEps >= job.spec.cores;
+    return job.spec.service || free_capacity_->free_ordinary() - reserve + kEps >= job.spec.cores;
   };
-  if (!ordinary() && (!job.spec.spot || rooms_->free_spot() + kEps < job.spec.cores)) return;
-  Picker picker(&need, &rooms_->nodes(), open_);
-  rooms_->steps += open_.size();
+  if (!ordinary() && (!job.spec.spot || free_capacity_->free_spot() + kEps < job.spec.cores))
+    return;
+  Picker picker(&need, &free_capacity_->nodes(), open_);
+  free_capacity_->steps += open_.size();
   size_t placed = 0;
-  while (!job.waiting.empty() && placed < most && rooms_->TeamRoom(job)) {
-    if (placed > 0 && !rooms_->ZoneRoom(job, on, &zones)) break;
+  while (!job.waiting.empty() && placed < most && free_capacity_->TeamRoom(job)) {
+    if (placed > 0 && !free_capacity_->ZoneRoom(job, on, &zones)) break;
     const int at = picker.Next(ordinary());
     if (at < 0) {
       if (placed == 0 && job.spec.service && !here && need.zones == nullptr) {
-        vain_.push_back(
+        failed_needs_.push_back(
             {need.cores, need.memory_gb, need.gpus, need.zone, need.spot_ok, need.types});
       }
       break;
@@ -146,15 +147,15 @@
   request.job = j;
   request.most = job.waiting.size();
   // Room that arrays may not take is not made for them.
-  request.ordinary = rooms_->free_ordinary() + kEps >= Reserve(job);
+  request.ordinary = free_capacity_->free_ordinary() + kEps >= Reserve(job);
   preemption_.MakeRoom(request);
 }
 
 void Placer::Pass() {
   const double now = clock_->Now();
-  rooms_->Refresh();
+  free_capacity_->Refresh();
   ranking_->Refresh();
-  vain_.clear();
+  failed_needs_.clear();
   gangs_.BeginPass();
   // Missing replicas first, the most important services before others.
   std::vector<JobIdx> services;
@@ -162,7 +163,7 @@
   double waiting = 0;
   for (JobIdx j : book_->live()) {
     const Job& job = (*book_)[j];
-    if (job.waiting.empty() || !job.told) continue;
+    if (job.waiting.empty() || !job.acknowledged) continue;
     least = std::min(least, job.spec.cores);
     if (job.spec.service) {
       services.push_back(j);
@@ -171,15 +172,15 @@
     }
   }
   if (least >= 1e9) return;
-  open_ = rooms_->Open(least);
-  rooms_->steps += open_.size();
+  open_ = free_capacity_->Open(least);
+  free_capacity_->steps += open_.size();
   std::stable_sort(services.begin(), services.end(), [this](JobIdx a, JobIdx b) {
     return (*book_)[a].spec.priority > (*book_)[b].spec.priority;
   });
   preemption_.BeginServices();
   for (JobIdx j : services) PlaceService(j);
   // Then the best-ranked array with a task that fits.
-  contended_ = waiting > rooms_->free_ordinary() + rooms_->free_spot();
+  contended_ = waiting > free_capacity_->free_ordinary() + free_capacity_->free_spot();
   preemption_.BeginArrays();
   for (JobIdx j : ranking_->order()) {
     const Job& job = (*book_)[j];
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -3,24 +3,24 @@
 
 #include <vector>
 
+#include "leader/free_capacity.h"
 #include "leader/gang_placer.h"
 #include "leader/preemption.h"
 #include "leader/ranking.h"
-#include "leader/rooms.h"
 
 namespace deckhall {
 
 class Placer {
  public:
-  Placer(JobBook* book, Fleet* fleet, Rooms* rooms, Ranking* ranking, Rentals* rentals,
-         const Clock* clock, const Tuning* tuning);
+  Placer(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, Ranking* ranking,
+         Rentals* rentals, const Clock* clock, const Tuning* tuning);
 
   // Gives free room to waiting tasks.
   void Pass();
 
  private:
   // A need for which this pass found no place: neither will it for a larger one.
-  struct Vain {
+  struct FailedNeed {
     double cores;
     double memory_gb;
     double gpus;
@@ -36,17 +36,17 @@
   double FetchSeconds(const Job& job) const;
   double Patience(const Job& job) const;
   double Reserve(const Job& job) const;
-  bool InVain(const Need& need) const;
+  bool FailedBefore(const Need& need) const;
   void Put(JobIdx j, uint32_t node, uint64_t attempt);
   JobBook* book_;
   Fleet* fleet_;
-  Rooms* rooms_;
+  FreeCapacity* free_capacity_;
   Ranking* ranking_;
   Rentals* rentals_;
   const Clock* clock_;
   const Tuning* tuning_;
   std::vector<uint32_t> open_;
-  std::vector<Vain> vain_;
+  std::vector<FailedNeed> failed_needs_;
   Preemption preemption_;
   GangPlacer gangs_;
   bool contended_ = false;  // more tasks wait than there is room
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -36,12 +36,12 @@
 
 }  // namespace
 
-Planner::Planner(JobBook* book, Fleet* fleet, Rooms* rooms, const Ranking* ranking,
+Planner::Planner(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, const Ranking* ranking,
                  Rentals* rentals, const Clock* clock, const Settings* settings,
                  const Tuning* tuning)
     : book_(book),
       fleet_(fleet),
-      rooms_(rooms),
+      free_capacity_(free_capacity),
       ranking_(ranking),
       rentals_(rentals),
       clock_(clock),
@@ -50,7 +50,7 @@
 
 void Planner::Plan() {
   if (!rentals_->types_known()) return;
-  rooms_->Refresh();
+  free_capacity_->Refresh();
   Rent();
   ReturnIdle();
   Consolidate();
@@ -76,7 +76,7 @@
       o.boot_s = type->boot_s;
     }
     // What is rented behind a cut can't be used before the cut ends.
-    o.refused = type == nullptr || now < pool.refused_until || rooms_->Cut(pool.zone);
+    o.refused = type == nullptr || now < pool.refused_until || free_capacity_->Cut(pool.zone);
     const int pending = rentals_->Pending(static_cast<uint32_t>(p));
     o.existing = pending;
     // Machines asked for count as if they were booting.
@@ -103,16 +103,16 @@
     for (Offer& o : offers) {
       if (o.type == m.type && o.zone == m.zone && o.spot == m.spot) ++o.existing;
     }
-    const Node& room = rooms_->nodes()[mi];
+    const Node& room = free_capacity_->nodes()[mi];
     if (room.cores <= kEps) continue;
     bool usable = room.usable;
-    if (m.zone != kNone && rooms_->Cut(m.zone)) continue;
+    if (m.zone != kNone && free_capacity_->Cut(m.zone)) continue;
     if (!m.up) {
       const MachineType* type = rentals_->TypeOf(m.type);
       usable = type != nullptr && wall - m.rented_wall < type->boot_s * tuning_->late_boot + 5;
     } else if (!usable) {
       usable = !m.drain && m.notice_until < 0 && now >= m.sick_until && m.fails < 2 &&
-               rooms_->HeardLately(m);
+               free_capacity_->HeardLately(m);
     }
     if (!usable) continue;
     Node n;
@@ -135,13 +135,13 @@
   static const std::vector<char> kAnyZone;
   static const std::vector<uint32_t> kNowhere;
   auto need_of = [this](const Job& job) {
-    Need n = rooms_->NeedOf(job, kAnyZone, kNowhere);
+    Need n = free_capacity_->NeedOf(job, kAnyZone, kNowhere);
     n.avoid = nullptr;
     return n;
   };
   // What each team may still use.
   std::vector<double> room(book_->teams.size());
-  for (uint32_t t = 0; t < room.size(); ++t) room[t] = rooms_->TeamLeft(t);
+  for (uint32_t t = 0; t < room.size(); ++t) room[t] = free_capacity_->TeamLeft(t);
   auto within_limit = [&room](const Job& job, uint32_t count) {
     double& r = room[job.team];
     if (job.spec.cores > 0) {
@@ -158,15 +158,15 @@
     if (n > 0) AddWant(&wants, 0, need_of(job), n);
   }
   double lent = 0;  // kept room that arrays may use meanwhile
-  const double headroom = rooms_->headroom();
-  if (rooms_->unit_cores() > 0) {
+  const double headroom = free_capacity_->headroom();
+  if (free_capacity_->unit_cores() > 0) {
     Need need;
-    need.cores = rooms_->unit_cores();
-    need.memory_gb = rooms_->unit_memory();
+    need.cores = free_capacity_->unit_cores();
+    need.memory_gb = free_capacity_->unit_memory();
     // Arrays on ordinary machines give way: their room counts as kept.
-    const double open = std::max(0.0, headroom - rooms_->lent_reserve());
+    const double open = std::max(0.0, headroom - free_capacity_->lent_reserve());
     lent = std::max(0.0, open - headroom * tuning_->headroom_free);
-    const auto count = static_cast<uint32_t>(std::ceil(open / rooms_->unit_cores()));
+    const auto count = static_cast<uint32_t>(std::ceil(open / free_capacity_->unit_cores()));
     if (count > 0) AddWant(&wants, wants.size(), need, count);
   }
   // Arrays: enough to work off what waits in the time the operator set.
@@ -223,7 +223,7 @@
   for (const Rental& r : PlanRentals(offers, std::move(bins), wants, most)) {
     char why[160];
     std::snprintf(why, sizeof why, "%.0f cores of arrays wait, %.0f kept for replicas", waiting,
-                  rooms_->headroom());
+                  free_capacity_->headroom());
     rentals_->Rent(r.offer, r.count, why);
   }
 }
@@ -239,7 +239,7 @@
     waits = waits || (job.spec.service && !job.waiting.empty());
     waiting += job.spec.cores * static_cast<double>(job.waiting.size());
   }
-  waits = waits || waiting > kLittleWaits * rooms_->capacity();
+  waits = waits || waiting > kLittleWaits * free_capacity_->capacity();
   const size_t most = 1 + fleet_->active().size() / kOneEmptiedOf;
   std::vector<MachIdx> emptying;
   std::vector<std::pair<double, MachIdx>> thin;
@@ -250,11 +250,13 @@
       emptying.push_back(mi);
       continue;
     }
-    if (m.spot || !rooms_->nodes()[mi].usable || now - m.up_at <= tuning_->settled_s) continue;
-    const bool settled = std::all_of(m.slots.begin(), m.slots.end(), [this, now](const Slot& s) {
-      return s.gone || (s.keep && s.job != kNone && s.state == TaskState::kRunning &&
-                        now - s.launched_at > tuning_->settled_s);
-    });
+    if (m.spot || !free_capacity_->nodes()[mi].usable || now - m.up_at <= tuning_->settled_s)
+      continue;
+    const bool settled =
+        std::all_of(m.attempts.begin(), m.attempts.end(), [this, now](const PlacedAttempt& s) {
+          return s.gone || (s.keep && s.job != kNone && s.state == TaskState::kRunning &&
+                            now - s.launched_at > tuning_->settled_s);
+        });
     if (settled) thin.emplace_back(m.used_cores, mi);
   }
   for (MachIdx mi : emptying) {
@@ -268,12 +270,12 @@
   }
   if (waits) return;
   std::sort(thin.begin(), thin.end());
-  double free = rooms_->free_ordinary();
+  double free = free_capacity_->free_ordinary();
   for (const auto& [used, mi] : thin) {
     if (emptying.size() >= most) return;
     Machine& m = (*fleet_)[mi];
-    const double others = free - std::max(0.0, rooms_->nodes()[mi].cores);
-    if (others < used + rooms_->headroom() * (1 + tuning_->consolidate_spare)) return;
+    const double others = free - std::max(0.0, free_capacity_->nodes()[mi].cores);
+    if (others < used + free_capacity_->headroom() * (1 + tuning_->consolidate_spare)) return;
     free = others - used;
     m.emptying = m.drain = true;
     m.emptying_since = now;
@@ -285,7 +287,7 @@
 
 void Planner::MoveOne(MachIdx mi) {
   Machine& m = (*fleet_)[mi];
-  for (Slot& s : m.slots) {
+  for (PlacedAttempt& s : m.attempts) {
     if (s.gone || !s.keep || s.job == kNone || s.state != TaskState::kRunning) continue;
     const Job& job = (*book_)[s.job];
     if (!job.spec.service) continue;               // arrays end by themselves
@@ -293,13 +295,13 @@
     std::vector<uint32_t> on = job.on;
     on.erase(std::find(on.begin(), on.end(), mi));
     std::vector<char> zones;
-    if (!rooms_->ZoneRoom(job, on, &zones)) continue;
-    Need need = rooms_->NeedOf(job, zones, on);
+    if (!free_capacity_->ZoneRoom(job, on, &zones)) continue;
+    Need need = free_capacity_->NeedOf(job, zones, on);
     need.patient = false;
     need.here_only = true;
-    const std::vector<uint32_t> open = rooms_->Open(job.spec.cores);
+    const std::vector<uint32_t> open = free_capacity_->Open(job.spec.cores);
     // It is itself drained, and so not among them.
-    if (Picker(&need, &rooms_->nodes(), open).Next(true) < 0) continue;
+    if (Picker(&need, &free_capacity_->nodes(), open).Next(true) < 0) continue;
     spdlog::info("moving {} off {}", s.name, m.name);
     fleet_->Unwant(mi, &s, 0);
     m.moved_at = clock_->Now();
@@ -338,11 +340,11 @@
   double waiting = 0;
   for (JobIdx j : book_->live()) {
     const Job& job = (*book_)[j];
-    if (job.waiting.empty() || now < job.backoff_until || !rooms_->TeamRoom(job)) continue;
+    if (job.waiting.empty() || now < job.backoff_until || !free_capacity_->TeamRoom(job)) continue;
     services_wait = services_wait || job.spec.service;
     waiting += job.spec.cores * static_cast<double>(job.waiting.size());
   }
-  double free_ordinary = rooms_->free_ordinary() + rooms_->lent_reserve();
+  double free_ordinary = free_capacity_->free_ordinary() + free_capacity_->lent_reserve();
   for (MachIdx mi : fleet_->active()) {
     Machine& m = (*fleet_)[mi];
     if (m.returning || m.cut) continue;
@@ -353,7 +355,7 @@
     if (m.spot) {
       if (idle > tuning_->idle_spot_boots * boot && waiting <= 0) rentals_->Return(mi, "idle");
     } else if (idle > tuning_->idle_ordinary_boots * boot && !services_wait &&
-               free_ordinary - type->cores >= rooms_->headroom()) {
+               free_ordinary - type->cores >= free_capacity_->headroom()) {
       free_ordinary -= type->cores;
       rentals_->Return(mi, "idle");
     }
--- a/src/leader/planner.h
+++ b/src/leader/planner.h
@@ -3,16 +3,16 @@
 
 #include <vector>
 
+#include "leader/free_capacity.h"
 #include "leader/ranking.h"
-#include "leader/rooms.h"
 #include "sched/capacity.h"
 
 namespace deckhall {
 
 class Planner {
  public:
-  Planner(JobBook* book, Fleet* fleet, Rooms* rooms, const Ranking* ranking, Rentals* rentals,
-          const Clock* clock, const Settings* settings, const Tuning* tuning);
+  Planner(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, const Ranking* ranking,
+          Rentals* rentals, const Clock* clock, const Settings* settings, const Tuning* tuning);
 
   // Rents and returns machines.
   void Plan();
@@ -28,7 +28,7 @@
 
   JobBook* book_;
   Fleet* fleet_;
-  Rooms* rooms_;
+  FreeCapacity* free_capacity_;
   const Ranking* ranking_;
   Rentals* rentals_;
   const Clock* clock_;
--- a/src/leader/preemption.cc
+++ b/src/leader/preemption.cc
@@ -34,22 +34,23 @@
 bool Preemption::Exhausted() const { return asked_ >= kMostJobs; }
 
 bool Preemption::MayAsk(const Job& job) {
-  if (!job.told || job.waiting.empty() || !rooms_->TeamRoom(job)) return false;
+  if (!job.acknowledged || job.waiting.empty() || !free_capacity_->TeamRoom(job)) return false;
   if (clock_->Now() < job.backoff_until || job.fail_streak >= 3) return false;
   return ++asked_ <= kMostJobs;
 }
 
-bool Preemption::MayStop(const Job& job, const Slot& slot) const {
+bool Preemption::MayStop(const Job& job, const PlacedAttempt& slot) const {
   if (slot.gone || !slot.keep || slot.job == kNone || slot.service) return false;
   const Job& other = (*book_)[slot.job];
   if (other.spec.gang) return false;
   // It went first once because others always did: stopped for one of those, its place
   // would go to the next that was passed over, and nothing would ever end.
   if (slot.passed && !job.spec.service) return false;
-  const Team* theirs = rooms_->TeamOf(other.team);
+  const Team* theirs = free_capacity_->TeamOf(other.team);
   const bool lower = other.spec.priority < job.spec.priority;
   const bool beyond = job.guaranteed && !other.guaranteed && other.team != job.team &&
-                      theirs != nullptr && rooms_->UseOf(other.team).cores > theirs->cores + kEps;
+                      theirs != nullptr &&
+                      free_capacity_->UseOf(other.team).cores > theirs->cores + kEps;
   if (!lower && !beyond) return false;
   // What is ranked before it would take the freed room again: stopped and placed
   // anew without end.
@@ -60,8 +61,8 @@
                         std::vector<size_t>* chosen) const {
   const double now = clock_->Now();
   std::vector<std::pair<double, size_t>> victims;
-  for (size_t i = 0; i < m.slots.size(); ++i) {
-    const Slot& s = m.slots[i];
+  for (size_t i = 0; i < m.attempts.size(); ++i) {
+    const PlacedAttempt& s = m.attempts[i];
     if (!MayStop(job, s)) continue;
     if (std::find(chosen->begin(), chosen->end(), i) != chosen->end()) continue;
     const Job& other = (*book_)[s.job];
@@ -79,7 +80,7 @@
   double loss = 0;
   for (const auto& [cost, i] : victims) {
     if (Fits(need, *node)) break;
-    const Slot& s = m.slots[i];
+    const PlacedAttempt& s = m.attempts[i];
     Subtract(node, -s.cores, -s.gpus, -s.memory_gb);
     loss += cost;
     chosen->push_back(i);
@@ -88,12 +89,12 @@
 }
 
 Node Preemption::RoomToCome(MachIdx mi) const {
-  const Node& room = rooms_->nodes()[mi];
+  const Node& room = free_capacity_->nodes()[mi];
   Node node;
   node.cores = room.cores;
   node.gpus = room.gpus;
   node.memory_gb = room.memory_gb;
-  for (const Slot& s : (*fleet_)[mi].slots) {
+  for (const PlacedAttempt& s : (*fleet_)[mi].attempts) {
     if (!s.gone && !s.keep) Subtract(&node, -s.cores, -s.gpus, -s.memory_gb);
   }
   auto claim = claims_.find(mi);
@@ -116,8 +117,8 @@
 
 void Preemption::Stop(const Job& job, const Choice& choice) {
   Machine& machine = (*fleet_)[choice.machine];
-  for (size_t i : choice.slots) {
-    Slot& s = machine.slots[i];
+  for (size_t i : choice.attempts) {
+    PlacedAttempt& s = machine.attempts[i];
     const Job& other = (*book_)[s.job];
     spdlog::info("stopping {} on {} for {} ({})", s.name, machine.name, job.id,
                  job.guaranteed ? "guaranteed" : "higher priority");
@@ -130,20 +131,20 @@
   const Job& job = (*book_)[request.job];
   if (!MayAsk(job)) return 0;
   std::vector<char> zones;
-  if (!rooms_->ZoneRoom(job, job.on, &zones)) return 0;
-  const Need need = rooms_->NeedOf(job, zones, job.on);
+  if (!free_capacity_->ZoneRoom(job, job.on, &zones)) return 0;
+  const Need need = free_capacity_->NeedOf(job, zones, job.on);
   auto wanted = std::min({job.waiting.size(), kMostPlaces, request.most});
-  wanted = std::min(wanted, static_cast<size_t>(std::max(
-                                0.0, rooms_->TeamLeft(job.team) / std::max(job.spec.cores, 1e-3))));
+  wanted = std::min(wanted, static_cast<size_t>(std::max(0.0, free_capacity_->TeamLeft(job.team) /
+                                                                  std::max(job.spec.cores, 1e-3))));
   const size_t all = wanted;
   std::vector<Choice> choices;
   for (MachIdx mi : fleet_->active()) {
     if (wanted == 0) return all;
     const Machine& m = (*fleet_)[mi];
-    const Node& room = rooms_->nodes()[mi];
+    const Node& room = free_capacity_->nodes()[mi];
     if (!room.usable || !Allows(need, room.type, room.zone, room.spot)) continue;
     if (!request.ordinary && !room.spot) continue;
-    ++rooms_->steps;
+    ++free_capacity_->steps;
     if (request.image_here && !HasImage(job, m)) continue;
     if (job.spec.service && m.lent_cores + room.cores + kEps < job.spec.cores) continue;
     // Room on its way already is enough, unless it is spoken for.
@@ -155,7 +156,7 @@
     }
     Choice choice;
     choice.machine = mi;
-    choice.loss = Loss(job, m, &node, &choice.slots);
+    choice.loss = Loss(job, m, &node, &choice.attempts);
     if (choice.loss >= 0 && choice.loss <= request.most_loss) choices.push_back(std::move(choice));
   }
   std::stable_sort(choices.begin(), choices.end(),
@@ -182,7 +183,7 @@
     Choice choice;
     choice.loss = loss;
     choice.machine = mi;
-    choice.slots.assign(chosen.begin() + static_cast<ptrdiff_t>(before), chosen.end());
+    choice.attempts.assign(chosen.begin() + static_cast<ptrdiff_t>(before), chosen.end());
     out->push_back(std::move(choice));
     Subtract(&node, need.cores, need.gpus, need.memory_gb);
   }
@@ -196,12 +197,12 @@
   std::vector<Choice> best;
   double least = 0;
   for (const std::vector<char>& zones : zone_sets) {
-    const Need need = rooms_->NeedOf(job, zones, {});
+    const Need need = free_capacity_->NeedOf(job, zones, {});
     std::vector<Choice> choices;
     for (MachIdx mi : fleet_->active()) {
-      const Node& room = rooms_->nodes()[mi];
+      const Node& room = free_capacity_->nodes()[mi];
       if (!room.usable || !Allows(need, room.type, room.zone, room.spot)) continue;
-      ++rooms_->steps;
+      ++free_capacity_->steps;
       if (request.image_here && !HasImage(job, (*fleet_)[mi])) continue;
       AddChoices(job, need, mi, &choices);
     }
@@ -218,7 +219,7 @@
     }
   }
   std::vector<MachIdx> machines;
-  const Need need = rooms_->NeedOf(job, {}, {});
+  const Need need = free_capacity_->NeedOf(job, {}, {});
   for (const Choice& choice : best) {
     Claim(choice.machine, need);
     Stop(job, choice);
--- a/src/leader/preemption.h
+++ b/src/leader/preemption.h
@@ -6,14 +6,14 @@
 #include <unordered_map>
 #include <vector>
 
-#include "leader/rooms.h"
+#include "leader/free_capacity.h"
 
 namespace deckhall {
 
 class Preemption {
  public:
-  Preemption(JobBook* book, Fleet* fleet, Rooms* rooms, const Clock* clock)
-      : book_(book), fleet_(fleet), rooms_(rooms), clock_(clock) {}
+  Preemption(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, const Clock* clock)
+      : book_(book), fleet_(fleet), free_capacity_(free_capacity), clock_(clock) {}
 
   // A pass begins: nothing is claimed yet. First services are served, then arrays.
   void BeginServices();
@@ -46,14 +46,14 @@
   struct Choice {
     double loss = 0;
     MachIdx machine = kNone;
-    std::vector<size_t> slots;
+    std::vector<size_t> attempts;
   };
 
   bool MayAsk(const Job& job);
-  bool MayStop(const Job& job, const Slot& slot) const;
+  bool MayStop(const Job& job, const PlacedAttempt& slot) const;
   // What is free there, with what is being stopped and without what is spoken for.
   Node RoomToCome(MachIdx mi) const;
-  // What stopping tasks for one more place would lose, in core-seconds; the slots are added
+  // What stopping tasks for one more place would lose, in core-seconds; the attempts are added
   // to `chosen`. Negative: no room can be made.
   double Loss(const Job& job, const Machine& m, Node* node, std::vector<size_t>* chosen) const;
   // Places for the gang's tasks on one machine, the cheapest first.
@@ -64,7 +64,7 @@
 
   JobBook* book_;
   Fleet* fleet_;
-  Rooms* rooms_;
+  FreeCapacity* free_capacity_;
   const Clock* clock_;
   std::unordered_map<MachIdx, Amounts> claims_;  // room on its way that is spoken for
   int asked_ = 0;                                // jobs this pass looked for tasks to stop for
--- a/src/leader/ranking.cc
+++ b/src/leader/ranking.cc
@@ -47,7 +47,7 @@
   std::vector<Use> sum(book_->teams.size());
   for (JobIdx j : order) {
     Job& job = (*book_)[j];
-    const Team* team = rooms_->TeamOf(job.team);
+    const Team* team = free_capacity_->TeamOf(job.team);
     Use& s = sum[job.team];
     const auto n = static_cast<double>(job.tasks.size());
     s.cores += n * job.spec.cores;
@@ -85,14 +85,14 @@
     }
     FspJob f;
     f.left = job.left;
-    const Team* team = rooms_->TeamOf(job.team);
+    const Team* team = free_capacity_->TeamOf(job.team);
     f.weight = (team != nullptr && team->cores > 0 ? team->cores : 1.0) *
                weights[static_cast<int>(job.spec.priority)];
     f.cap = std::max(0.1, static_cast<double>(job.tasks.size() - job.done) * job.spec.cores);
     run.push_back(f);
   }
-  if (ranked_at_ >= 0) FspAdvance(&run, rooms_->capacity(), now - ranked_at_);
-  const auto finish = FspFinish(run, rooms_->capacity());
+  if (ranked_at_ >= 0) FspAdvance(&run, free_capacity_->capacity(), now - ranked_at_);
+  const auto finish = FspFinish(run, free_capacity_->capacity());
   for (size_t i = 0; i < arrays.size(); ++i) {
     (*book_)[arrays[i]].left = run[i].left;
     (*book_)[arrays[i]].finish = finish[i];
--- a/src/leader/ranking.h
+++ b/src/leader/ranking.h
@@ -4,14 +4,15 @@
 
 #include <vector>
 
-#include "leader/rooms.h"
+#include "leader/free_capacity.h"
 
 namespace deckhall {
 
 class Ranking {
  public:
-  Ranking(JobBook* book, const Rooms* rooms, const Clock* clock, const Tuning* tuning)
-      : book_(book), rooms_(rooms), clock_(clock), tuning_(tuning) {}
+  Ranking(JobBook* book, const FreeCapacity* free_capacity, const Clock* clock,
+          const Tuning* tuning)
+      : book_(book), free_capacity_(free_capacity), clock_(clock), tuning_(tuning) {}
 
   // None of its tasks found a place for so long that it goes first once.
   bool PassedOver(const Job& job, double now) const;
@@ -37,7 +38,7 @@
   void Guarantees();
 
   JobBook* book_;
-  const Rooms* rooms_;
+  const FreeCapacity* free_capacity_;
   const Clock* clock_;
   const Tuning* tuning_;
   double due_ = 0;
--- a/src/state/job_book.cc
+++ b/src/state/job_book.cc
@@ -73,10 +73,10 @@
   }
   Job job;
   job.row = row;
-  job.told = job.from_store = true;
+  job.acknowledged = job.from_store = true;
   JsonString(doc, "s", &state);
   job.life = state == "d" ? JobLife::kDone : state == "c" ? JobLife::kCancelled : JobLife::kLive;
-  job.end_told = job.life != JobLife::kLive;
+  job.end_acknowledged = job.life != JobLife::kLive;
   const JsonValue* spec = JsonMember(doc, "j");
   if (spec != nullptr) {
     if (!ReadJob(*spec, &job.spec).empty()) return false;
--- a/src/state/row_store_split.cc
+++ b/src/state/row_store_split.cc
@@ -43,6 +43,7 @@
 void RowStore::Split(uint32_t origin) {
   const std::vector<RowId> rows = pages_[origin].rows;
   std::vector<RowSize> sizes;
+  sizes.reserve(rows.size());
   for (RowId id : rows) sizes.push_back({rows_[id].reserve, rows_[id].text.size() + 1});
   const SplitLimits limits{limits_.value_bytes, limits_.most_bytes, limits_.txn_ops};
   const RowGroups groups = PlanSplit(sizes, limits);
