Machines at most: half of the controllers hold every worker; a failed task is judged by itself

Cause: with 3500 connections the plan ended at 2330 machines and with 2500 at 1630, below the 4,000 that some deployments run; the bound took one controller as the only one left. Then a full table drops idle connections, which costs reconnections, not work.

--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -50,8 +50,12 @@
 inline int ServedConnections(const Settings& s) {
   return std::max(40, s.max_sockets - WorkerConnections(s) - 120);
 }
-// Should all others be down, one controller is to hold every worker.
-inline int MostMachines(const Settings& s) { return ServedConnections(s); }
+// Half of the controllers, rounded up, are to hold every worker. Should fewer be up, a full
+// table drops the connection idle longest, and workers come again with their next report.
+inline int MostMachines(const Settings& s) {
+  const int controllers = static_cast<int>(s.siblings.size()) + 1;
+  return ServedConnections(s) * ((controllers + 1) / 2);
+}
 
 // Unfinished jobs and their tasks may take a quarter of the memory each; so much is one
 // of them with its row, and so much a task, waiting or placed.
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -89,6 +89,7 @@
   void Committed();
   void ReleaseUnseen();
   void TaskEnded(MachIdx m, const PlacedAttempt& slot);
+  void TaskFailed(MachIdx m, const PlacedAttempt& slot);
   void Direct(MachIdx m);
   void DirectDone(MachIdx m, const WorkerAnswer& answer, Stamp asked);
   void Sweep();
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -160,30 +160,9 @@
       spdlog::info("machine {}: {} refused ({})", m.name, slot.name,
                    slot.why == ExitWhy::kInUse ? "in use" : "unknown");
       break;
-    case ExitWhy::kError: {
-      ++job.fail_streak;
-      job.failed_at = now;
-      const bool new_place =
-          std::find(job.failed_on.begin(), job.failed_on.end(), mi) == job.failed_on.end();
-      if (new_place) job.failed_on.push_back(mi);
-      if (job.failed_on.size() > 16) job.failed_on.erase(job.failed_on.begin());
-      // A job that fails wherever it goes says nothing about the machine.
-      if (job.failed_on.size() <= 2 && new_place) ++m.task_fails;
-      if (job.fail_streak >= 3) {
-        const double wait =
-            std::min(60.0, std::pow(2.0, std::min<uint32_t>(job.fail_streak, 9) - 3));
-        job.backoff_until = now + wait;
-      }
-      spdlog::info("machine {}: {} failed (job {} in a row, machine {})", m.name, slot.name,
-                   job.fail_streak, m.task_fails);
-      if (m.task_fails >= 2) {
-        m.task_fails = 0;
-        ++m.sick_count;
-        m.sick_until = now + 20.0 * m.sick_count;
-        spdlog::warn("machine {}: quarantined for {} s", m.name, 20 * m.sick_count);
-      }
+    case ExitWhy::kError:
+      TaskFailed(mi, slot);
       break;
-    }
     case ExitWhy::kPeers:
     case ExitWhy::kIncomplete:
       // No fault of this machine, nor of the job: it starts again as a whole.
@@ -193,6 +172,33 @@
   }
 }
 
+// Either the job or the machine is at fault; where else the job failed tells which.
+void Leader::TaskFailed(MachIdx mi, const PlacedAttempt& slot) {
+  Machine& m = fleet_[mi];
+  Job& job = book_[slot.job];
+  const double now = ports_.clock->Now();
+  ++job.fail_streak;
+  job.failed_at = now;
+  const bool new_place =
+      std::find(job.failed_on.begin(), job.failed_on.end(), mi) == job.failed_on.end();
+  if (new_place) job.failed_on.push_back(mi);
+  if (job.failed_on.size() > 16) job.failed_on.erase(job.failed_on.begin());
+  // A job that fails wherever it goes says nothing about the machine.
+  if (job.failed_on.size() <= 2 && new_place) ++m.task_fails;
+  if (job.fail_streak >= 3) {
+    const double wait = std::min(60.0, std::pow(2.0, std::min<uint32_t>(job.fail_streak, 9) - 3));
+    job.backoff_until = now + wait;
+  }
+  spdlog::info("machine {}: {} failed (job {} in a row, machine {})", m.name, slot.name,
+               job.fail_streak, m.task_fails);
+  if (m.task_fails >= 2) {
+    m.task_fails = 0;
+    ++m.sick_count;
+    m.sick_until = now + 20.0 * m.sick_count;
+    spdlog::warn("machine {}: quarantined for {} s", m.name, 20 * m.sick_count);
+  }
+}
+
 void Leader::ReleaseUnseen() {
   // A task not seen anywhere is free once no machine is left that it could be on.
   // Machines of one type, zone and kind are alike in this.
--- a/tests/trouble_test.cc
+++ b/tests/trouble_test.cc
@@ -474,6 +474,20 @@
   EXPECT_GT(Started(a, "job-9999"), 0U);
 }
 
+// Of three controllers with 3500 connections each, two hold 4,000 workers; the plan does not
+// stop below that.
+TEST(Size, FourThousandMachinesAreWithinTheLimits) {
+  Settings settings;
+  settings.max_sockets = 3500;
+  settings.siblings.resize(2);
+  EXPECT_GE(MostMachines(settings), 4000);
+  settings.max_sockets = 2500;
+  settings.siblings.resize(4);
+  EXPECT_GE(MostMachines(settings), 4000);
+  settings.siblings.clear();
+  EXPECT_EQ(MostMachines(settings), ServedConnections(settings));
+}
+
 TEST(Size, ThePlanHasNoLimitBelowWhatTheSettingsAllow) {
   World w;
   w.settings.max_sockets = 4000;
