--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -57,10 +57,9 @@
 
 TEST(Gang, ARefusedTaskIsReplacedUnderTheSameAttempt) {
   GangWorld w;
-  w.Lead();
-  auto& a = w.Box("m-1", "east");
-  auto& b = w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
+  FakeWorker& a = w.workers.at["m-1:1"];
+  FakeWorker& b = w.workers.at["m-2:1"];
   // The first command there arrives at a machine without room.
   a.report.tasks.clear();
   w.Pass(0.5);
@@ -78,10 +77,8 @@
 
 TEST(Gang, ATaskOnASilentMachineIsReplacedOnlyWhenItSurelyEnded) {
   GangWorld w;
-  w.Lead();
-  auto& a = w.Box("m-1", "east");
-  w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
+  FakeWorker& a = w.workers.at["m-1:1"];
   w.Pass(0.5);
   const std::set<uint64_t> attempt = w.Attempts("job-1");
   w.Box("m-3", "east");
@@ -117,10 +114,8 @@
 
 TEST(Gang, ARunningOneThatLostATaskStartsAgainAsAWholeWhenAllOfItHasEnded) {
   GangWorld w;
-  w.Lead();
-  auto& a = w.Box("m-1", "east");
-  w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
+  FakeWorker& a = w.workers.at["m-1:1"];
   w.Run(2);
   ASSERT_EQ(w.In("job-1", TaskState::kRunning), 6U);
   const std::set<uint64_t> first = w.Attempts("job-1");
@@ -158,10 +153,9 @@
 
 TEST(Gang, OneDoneTaskIsTheEndOfAllOfThemAlsoForTheNextLeader) {
   GangWorld w;
-  w.Lead();
-  auto& a = w.Box("m-1", "east");
-  auto& b = w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
+  FakeWorker& a = w.workers.at["m-1:1"];
+  FakeWorker& b = w.workers.at["m-2:1"];
   w.Run(2);
   b.silent = true;
   w.Complete("job-1", {"m-1"});
@@ -264,10 +258,8 @@
 
 TEST(Gang, ANewLeaderFinishesAStopThatReachedSomeOfItsTasks) {
   GangWorld w;
-  w.Lead();
-  auto& a = w.Box("m-1", "east");
-  w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
+  FakeWorker& a = w.workers.at["m-1:1"];
   w.Run(2);
   const std::set<uint64_t> first = w.Attempts("job-1");
   for (TaskReport& task : a.report.tasks) task.state = TaskState::kSaving;
@@ -281,10 +273,7 @@
 
 TEST(Gang, RunsOnUnderANewLeader) {
   GangWorld w;
-  w.Lead();
-  w.Box("m-1", "east");
-  w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
   w.Run(2);
   const std::set<uint64_t> first = w.Attempts("job-1");
   w.Lead();
@@ -295,10 +284,8 @@
 
 TEST(Gang, ANewLeaderCompletesOneThatGathers) {
   GangWorld w;
-  w.Lead();
-  auto& a = w.Box("m-1", "east");
-  w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
+  FakeWorker& a = w.workers.at["m-1:1"];
   w.Pass(0.5);
   const std::set<uint64_t> first = w.Attempts("job-1");
   const std::string lost = a.report.tasks.back().task;
@@ -401,10 +388,7 @@
 TEST(Gang, TwoOfThemDoNotBlockEachOtherHalfPlaced) {
   GangWorld w;
   w.settings.teams[0].cores_max = 0;
-  w.Lead();
-  w.Box("m-1", "east");
-  w.Box("m-2", "east");
-  w.Submit(w.Gang("job-1", 6));
+  w.LeadWithGang(6);
   w.Submit(w.Gang("job-2", 6));
   w.Run(5);
   EXPECT_EQ(w.In("job-1", TaskState::kRunning) + w.In("job-2", TaskState::kRunning), 6U);
--- a/tests/gang_world.cc
+++ b/tests/gang_world.cc
@@ -27,6 +27,13 @@
   return worker;
 }
 
+void GangWorld::LeadWithGang(uint32_t tasks) {
+  Lead();
+  Box("m-1", "east");
+  Box("m-2", "east");
+  Submit(Gang("job-1", tasks));
+}
+
 void GangWorld::Exit(TaskReport* task, ExitWhy why, bool saved) {
   task->state = TaskState::kExited;
   task->why = why;
--- a/tests/gang_world.h
+++ b/tests/gang_world.h
@@ -20,6 +20,8 @@
   }
   JobSpec Gang(const std::string& id, uint32_t tasks, double cores = 2);
   FakeWorker& Box(const std::string& name, const std::string& zone, bool spot = false);
+  // A leader, two machines of eight cores in one zone and a gang, job-1, for them.
+  void LeadWithGang(uint32_t tasks);
   // Time passes for workers, users and the leader; worlds of gangs have no other clock.
   void Run(double seconds);
   // Tasks of the job that are on machines in that state, as the workers know it.
