--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -372,9 +372,11 @@
         }
       }
       if (job.spec.gang) {
-        // The tasks of a gang complete together.
-        book_->AllDone(slot->job);
-        UnwantUnseen(slot->job);
+        // The tasks of a gang complete together. Once is enough: each of them says so.
+        if (job.done < job.tasks.size()) {
+          book_->AllDone(slot->job);
+          UnwantUnseen(slot->job);
+        }
       } else {
         book_->Done(slot->job, slot->task);
       }
--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -399,6 +399,28 @@
   EXPECT_EQ(w.Starts("job-1") + w.Starts("job-2"), 12U);
 }
 
+TEST(Gang, OfTwoThousandTasksStartsAndEndsWithWorkThatGrowsWithItAlone) {
+  size_t steps[2] = {0, 0};
+  for (const uint32_t machines : {125U, 500U}) {
+    GangWorld w;
+    w.settings.teams[0].cores_max = 0;
+    w.settings.mem_mb = 500;
+    w.Lead();
+    for (uint32_t i = 0; i < machines; ++i) w.Box("m-" + std::to_string(i), "east");
+    const uint64_t before = w.leader->steps();
+    const uint32_t tasks = machines * 4;
+    ASSERT_EQ(w.Submit(w.Gang("job-1", tasks)).status, 201);
+    w.Run(3);
+    ASSERT_EQ(w.In("job-1", TaskState::kRunning), tasks);
+    w.Complete("job-1");
+    w.Run(3);
+    EXPECT_EQ(w.Ask(UserOp::kGet, "job-1").state, JobState::kDone);
+    steps[machines == 500 ? 1 : 0] = w.leader->steps() - before;
+  }
+  // Four times the machines and tasks, four times the work.
+  EXPECT_LT(steps[1], steps[0] * 5);
+}
+
 TEST(Gang, CancelledWhileItGathersOrRunsIsGone) {
   for (const double after : {0.0, 3.0}) {
     GangWorld w;
