--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -51,6 +51,7 @@
              [this](const UserRequest& request, const UserDone& done) {
                return ServeHere(request, done);
              }),
+      policy_(ports.state, ports.clock, &settings_),
       status_budget_(StatusRequestsPerSecond(settings_, tuning_)) {
   election_.on_won = [this](uint64_t term) { Won(term); };
   election_.on_lost = [this] { Lost(); };
@@ -70,7 +71,11 @@
   mesh_.Tick();
   const bool holding = leader_ && leader_->loaded();
   mesh_.SetLeading(holding && election_.Trusted(), holding, election_.term());
-  if (leader_) leader_->Tick();
+  policy_.Tick();
+  if (leader_) {
+    leader_->Use(policy_.in_force(), policy_.confirmed_at() >= won_at_);
+    leader_->Tick();
+  }
   relay_.Tick();
   if (leader_ && leader_->UnreachedFor() > kUnreachedFor && mesh_.Silence() < kUnreachedFor / 2) {
     election_.StepDown("most workers can't be reached from here", kStepAside);
@@ -96,6 +101,9 @@
   }
   leader_ = std::make_unique<Leader>(ports, &settings_, &tuning_, Election::kKey, term);
   leader_->on_deposed = [this](const char* why) { election_.Abdicate(why); };
+  won_at_ = ports_.clock->Now();
+  // Another leader may have had a newer policy.
+  policy_.ReadSoon();
   leader_->Begin();
 }
 
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -14,6 +14,7 @@
 #include "app/status_budget.h"
 #include "app/tuning.h"
 #include "app/user_relay.h"
+#include "drain/policy_replicator.h"
 #include "leader/election.h"
 #include "leader/leader.h"
 #include "mesh/mesh.h"
@@ -43,6 +44,10 @@
   Controller& operator=(const Controller&) = delete;
 
   void Tick();
+  // The policy of this controller's disruption file.
+  void OfferPolicy(std::shared_ptr<const DisruptionPolicy> policy) {
+    policy_.Offer(std::move(policy));
+  }
   void User(UserRequest ask, UserDone done);
   void CheckIn(Report report, ReportDone done);
   bool Up() const { return health_.Up(ports_.clock->Now()); }
@@ -79,6 +84,8 @@
   Mesh mesh_;
   Health health_;
   UserRelay relay_;
+  PolicyReplicator policy_;
+  double won_at_ = 0;
   StatusBudget status_budget_;
   std::optional<double> refusal_logged_at_;
 };
--- /dev/null
+++ b/src/app/drains_command.cc
@@ -0,0 +1,113 @@
+#include "app/drains_command.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <iostream>
+
+#include "net/loop.h"
+#include "state/row_store.h"
+#include "state/state_client.h"
+
+namespace deckhall {
+namespace {
+
+constexpr double kAnswerWithin = 5;  // seconds
+
+class CommandClock : public Clock {
+ public:
+  double Now() const override { return SteadySeconds(); }
+  double Wall() const override { return WallSeconds(); }
+};
+
+std::string Ago(double seconds) {
+  const auto s = static_cast<long>(std::max(0.0, seconds));
+  char text[40];
+  if (s < 120) {
+    std::snprintf(text, sizeof text, "%ld s", s);
+  } else if (s < 7200) {
+    std::snprintf(text, sizeof text, "%ld min", s / 60);
+  } else {
+    std::snprintf(text, sizeof text, "%.1f h", static_cast<double>(s) / 3600);
+  }
+  return text;
+}
+
+std::string Count(uint64_t n, const char* what) { return std::to_string(n) + " " + what; }
+
+}  // namespace
+
+void ReadDrainRows(const std::string& page, DrainRecords* out) {
+  rapidjson::Document doc;
+  if (!ParseJson(page, &doc) || !doc.IsArray()) return;
+  for (const auto& row : doc.GetArray()) {
+    rapidjson::StringBuffer buffer;
+    JsonWriter w(buffer);
+    row.Accept(w);
+    const std::string_view text(buffer.GetString(), buffer.GetSize());
+    DrainProgress progress;
+    StepRecord step;
+    if (DecodeProgress(text, &progress)) {
+      out->drains.push_back(std::move(progress));
+    } else if (DecodeStep(text, &step)) {
+      out->steps.push_back(std::move(step));
+    }
+  }
+}
+
+std::string DescribeDrains(const DrainRecords& records, double wall) {
+  if (records.drains.empty()) return "no drains\n";
+  std::string out;
+  for (const DrainProgress& d : records.drains) {
+    out += d.drain + ": " + StateWord(d.state) + " for " + Ago(wall - d.since_wall) + "; " +
+           Count(d.machines_done, "machines done, ") + Count(d.machines_left, "left; ") +
+           Count(d.replicas_moved, "replicas moved, ") + Count(d.replicas_moving, "moving; ") +
+           Count(d.tasks_stopped, "tasks of arrays stopped; ") +
+           Count(d.steps_given_up, "steps given up\n");
+    if (d.state != DrainState::kDone && !d.why.empty()) {
+      out += "  waits for " + Ago(wall - d.waiting_since_wall) + ": " + d.why + "\n";
+    }
+    for (const StepRecord& s : records.steps) {
+      if (s.drain != d.drain) continue;
+      out += "  moving " + s.job + "/" + std::to_string(s.task) + " off " + s.machine + " for " +
+             Ago(wall - s.since_wall) + "\n";
+    }
+  }
+  return out;
+}
+
+int PrintDrains(const Settings& settings) {
+  Loop loop;
+  const CommandClock clock;
+  StateClient state(&loop, &clock, settings.state, settings.state_kept.rps,
+                    settings.state_kept.write_rps);
+  DrainRecords records;
+  bool complete = false;
+  Timer timeout(&loop, [&loop] { loop.Stop(); });
+  timeout.Start(kAnswerWithin);
+  std::function<void(const std::string&)> list = [&](const std::string& after) {
+    state.List(std::string(RowStore::kPrefix), after, [&](const StateAnswer& answer) {
+      if (answer.outcome != StateOutcome::kOk) {
+        loop.Stop();
+        return;
+      }
+      for (const KvRow& row : answer.rows) ReadDrainRows(row.value, &records);
+      if (answer.truncated && !answer.rows.empty()) {
+        list(answer.rows.back().key);
+        return;
+      }
+      complete = true;
+      loop.Stop();
+    });
+  };
+  list("");
+  loop.Run();
+  if (!complete) {
+    std::cerr << "deckhall: the state service does not answer" << std::endl;
+    return 1;
+  }
+  std::cout << DescribeDrains(records, clock.Wall()) << std::flush;
+  return 0;
+}
+
+}  // namespace deckhall
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -9,6 +9,8 @@
 #include <iostream>
 #include <sstream>
 
+#include "app/drains_command.h"
+#include "app/policy_file.h"
 #include "app/process.h"
 
 namespace {
@@ -27,18 +29,28 @@
   return 2;
 }
 
-// Reads both files; 0, or the exit status after one line on standard error.
-int Read(const std::string& config, const std::string& tuning_path, deckhall::Settings* settings,
-         deckhall::Tuning* tuning) {
+// The files named on the command line; only the first is required.
+struct Files {
+  std::string config;
+  std::string tuning;
+  std::string disruption;
+};
+
+// Reads and checks the files; 0, or the exit status after one line on standard error.
+int Read(const Files& files, deckhall::Settings* settings, deckhall::Tuning* tuning) {
   std::string text;
-  if (!ReadFile(config, &text)) return Complain(config, "can't be read");
+  if (!ReadFile(files.config, &text)) return Complain(files.config, "can't be read");
   std::string bad = deckhall::ReadSettings(text, settings);
-  if (!bad.empty()) return Complain(config, bad);
-  if (tuning_path.empty()) return 0;
-  if (!ReadFile(tuning_path, &text)) return Complain(tuning_path, "can't be read");
-  bad = deckhall::ReadTuning(text, tuning);
-  if (!bad.empty()) return Complain(tuning_path, bad);
-  return 0;
+  if (!bad.empty()) return Complain(files.config, bad);
+  if (!files.tuning.empty()) {
+    if (!ReadFile(files.tuning, &text)) return Complain(files.tuning, "can't be read");
+    bad = deckhall::ReadTuning(text, tuning);
+    if (!bad.empty()) return Complain(files.tuning, bad);
+  }
+  if (files.disruption.empty()) return 0;
+  deckhall::DisruptionPolicy policy;
+  bad = deckhall::LoadPolicyFile(files.disruption, *settings, &policy);
+  return bad.empty() ? 0 : Complain(files.disruption, bad);
 }
 
 void SetUpLog(const std::string& label) {
@@ -58,13 +70,16 @@
   CLI::App app("deckhall: a cluster scheduler's controller");
   app.set_version_flag("--version", std::string("deckhall ") + DECKHALL_VERSION);
   app.require_subcommand(1);
-  std::string config;
-  std::string tuning_path;
+  Files files;
   auto* serve = app.add_subcommand("serve", "run a controller until it is killed");
-  auto* check = app.add_subcommand("check", "check settings and tuning, and stop");
-  for (auto* sub : {serve, check}) {
-    sub->add_option("--config", config, "the platform's settings (JSON)")->required();
-    sub->add_option("--tuning", tuning_path, "the operators' settings (S-expression)");
+  auto* check = app.add_subcommand("check", "check the files, and stop");
+  auto* drains = app.add_subcommand("drains", "show how far each drain has come, and stop");
+  for (auto* sub : {serve, check, drains}) {
+    sub->add_option("--config", files.config, "the platform's settings (JSON)")->required();
+    if (sub == drains) continue;
+    sub->add_option("--tuning", files.tuning, "the operators' settings (S-expression)");
+    sub->add_option("--disruption", files.disruption,
+                    "disruption budgets and drains (S-expression)");
   }
   try {
     app.parse(argc, argv);
@@ -73,7 +88,8 @@
   }
   deckhall::Settings settings;
   deckhall::Tuning tuning;
-  if (const int status = Read(config, tuning_path, &settings, &tuning); status != 0) return status;
+  if (const int status = Read(files, &settings, &tuning); status != 0) return status;
+  if (drains->parsed()) return deckhall::PrintDrains(settings);
   if (check->parsed()) {
     std::cout << "settings are good" << std::endl;
     return 0;
@@ -82,7 +98,7 @@
   SetUpLog(settings.label);
   try {
     deckhall::Loop loop;
-    const deckhall::Process process(&loop, settings, tuning);
+    const deckhall::Process process(&loop, settings, tuning, files.disruption);
     loop.Run();
   } catch (const std::exception& e) {
     spdlog::error("{}", e.what());
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -9,6 +9,7 @@
 
 constexpr double kTick = 0.02;
 constexpr double kLogEvery = 60;
+constexpr double kPolicyEvery = 2;  // seconds
 
 uint64_t RandomInstance() {
   std::random_device device;
@@ -23,7 +24,8 @@
 
 }  // namespace
 
-Process::Process(Loop* loop, const Settings& settings, const Tuning& tuning)
+Process::Process(Loop* loop, const Settings& settings, const Tuning& tuning,
+                 const std::string& disruption_file)
     : state_(loop, &clock_, settings.state, settings.state_kept.rps, settings.state_kept.write_rps),
       cloud_(loop, &clock_, settings.cloud, settings.cloud_rps),
       workers_(loop, static_cast<size_t>(WorkerConnections(settings))),
@@ -40,7 +42,9 @@
       server_(loop, settings.serve_on, ServerLimits(settings),
               [this](const HttpMessage& m, const HttpServer::Reply& r) { front_.Handle(m, r); }),
       ticker_(loop, [this] { Tick(); }),
-      kick_(loop, [this] { controller_.Tick(); }) {
+      kick_(loop, [this] { controller_.Tick(); }),
+      settings_(settings),
+      policy_file_(disruption_file, &settings_) {
   controller_.on_work = [this] {
     if (!kick_.active()) kick_.Start(0);
   };
@@ -53,6 +57,10 @@
 void Process::Tick() {
   controller_.Tick();
   const double now = clock_.Now();
+  if (now >= next_policy_) {
+    next_policy_ = now + kPolicyEvery;
+    if (auto policy = policy_file_.ReadIfChanged()) controller_.OfferPolicy(std::move(policy));
+  }
   if (now < next_log_) return;
   next_log_ = now + kLogEvery;
   front_.LogLatency();
--- a/src/app/process.h
+++ b/src/app/process.h
@@ -5,6 +5,7 @@
 
 #include "api/front.h"
 #include "app/controller.h"
+#include "app/policy_file.h"
 #include "cloud/cloud_client.h"
 #include "fleet/worker_client.h"
 #include "mesh/mesh_links.h"
@@ -20,7 +21,9 @@
 
 class Process {
  public:
-  Process(Loop* loop, const Settings& settings, const Tuning& tuning);
+  // `disruption_file` may be empty: then there are neither budgets nor drains.
+  Process(Loop* loop, const Settings& settings, const Tuning& tuning,
+          const std::string& disruption_file);
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
@@ -37,7 +40,10 @@
   HttpServer server_;
   Timer ticker_;
   Timer kick_;
+  Settings settings_;
+  PolicyFile policy_file_;
   double next_log_ = 0;
+  double next_policy_ = 0;
 };
 
 }  // namespace deckhall
--- a/src/app/tuning.cc
+++ b/src/app/tuning.cc
@@ -1,39 +1,24 @@
 #include "app/tuning.h"
 
-#include <gcrypt.h>
+#include <optional>
 
-#include <cerrno>
-#include <cmath>
-#include <cstdlib>
-#include <memory>
+#include "app/sexpression.h"
 
 namespace deckhall {
 namespace {
 
-using Sexp = std::unique_ptr<gcry_sexp, decltype(&gcry_sexp_release)>;
-
-Sexp Own(gcry_sexp_t s) { return {s, gcry_sexp_release}; }
-
-std::string Atom(gcry_sexp_t list, int n) {
-  size_t size = 0;
-  const char* data = gcry_sexp_nth_data(list, n, &size);
-  return data == nullptr ? std::string() : std::string(data, size);
-}
-
-std::string SetField(const std::string& section, gcry_sexp_t entry, Tuning* out) {
-  const std::string name = Atom(entry, 0);
+std::string SetField(const std::string& section, const SExpression& entry, Tuning* out) {
+  const std::string name = entry.Name();
   for (const TuningField& f : TuningFields()) {
     if (section != f.section || name != f.name) continue;
-    const std::string text = Atom(entry, 1);
-    char* end = nullptr;
-    const double v = std::strtod(text.c_str(), &end);
-    if (text.empty() || *end != '\0' || !std::isfinite(v) || v < f.least || v > f.most) {
+    const std::optional<double> value = ParseNumber(entry.Atom(1));
+    if (!value || *value < f.least || *value > f.most) {
       std::string reason = section;
       reason.append(" ").append(name).append(": not a number from ");
       reason.append(std::to_string(f.least)).append(" to ").append(std::to_string(f.most));
       return reason;
     }
-    out->*(f.member) = v;
+    out->*(f.member) = *value;
     return "";
   }
   return "";  // unknown: ignored, as in the platform's file
@@ -116,23 +101,18 @@
 }
 
 std::string ReadTuning(const std::string& text, Tuning* out) {
-  gcry_check_version(nullptr);
-  gcry_sexp_t raw = nullptr;
-  size_t offset = 0;
-  if (gcry_sexp_sscan(&raw, &offset, text.data(), text.size()) != 0) {
-    return "not an S-expression (at byte " + std::to_string(offset) +
-           "); numbers go in quotes, as in (lease-ms \"2500\")";
-  }
-  const Sexp root = Own(raw);
-  if (Atom(root.get(), 0) != "deckhall") return "does not begin with (deckhall";
-  for (int i = 1; i < gcry_sexp_length(root.get()); ++i) {
-    const Sexp section = Own(gcry_sexp_nth(root.get(), i));
-    if (!section || !Atom(root.get(), i).empty()) return "a section is not a list";
-    const std::string name = Atom(section.get(), 0);
-    for (int k = 1; k < gcry_sexp_length(section.get()); ++k) {
-      const Sexp entry = Own(gcry_sexp_nth(section.get(), k));
-      if (!entry || !Atom(section.get(), k).empty()) return name + ": an entry is not a list";
-      std::string bad = SetField(name, entry.get(), out);
+  std::string bad;
+  const std::optional<SExpression> root = SExpression::Parse(text, &bad);
+  if (!root) return bad;
+  if (root->Name() != "deckhall") return "does not begin with (deckhall";
+  for (int i = 1; i < root->size(); ++i) {
+    const std::optional<SExpression> section = root->List(i);
+    if (!section) return "a section is not a list";
+    const std::string name = section->Name();
+    for (int k = 1; k < section->size(); ++k) {
+      const std::optional<SExpression> entry = section->List(k);
+      if (!entry) return name + ": an entry is not a list";
+      bad = SetField(name, *entry, out);
       if (!bad.empty()) return bad;
     }
   }
--- /dev/null
+++ b/src/drain/disruption_ledger.cc
@@ -0,0 +1,309 @@
+#include "drain/disruption_ledger.h"
+
+#include <algorithm>
+
+namespace deckhall {
+
+DisruptionLedger::DisruptionLedger(JobBook* book, Fleet* fleet, const Clock* clock,
+                                   double overdue_s)
+    : book_(book), fleet_(fleet), clock_(clock), overdue_s_(overdue_s) {}
+
+void DisruptionLedger::Use(std::shared_ptr<const DisruptionPolicy> policy, bool confirmed) {
+  confirmed_ = confirmed;
+  if (policy == policy_) return;
+  const bool first = policy_ == nullptr;
+  policy_ = std::move(policy);
+  if (policy_ == nullptr) return;
+  if (first) stops_known_from_ = clock_->Now() + policy_->times.window_s;
+  Rebuild(first);
+}
+
+void DisruptionLedger::Rebuild(bool first) {
+  // Stops that were counted stay counted, by team and class.
+  std::map<std::pair<std::string, std::string>, std::deque<double>> stops;
+  for (const auto& [key, at] : account_index_) stops[key] = std::move(accounts_[at].stops);
+  // Only this term's first replicas are known never to have run.
+  std::map<JobIdx, Known> known = std::exchange(jobs_, {});
+  std::vector<std::pair<JobIdx, uint32_t>> ran;
+  std::vector<std::pair<JobIdx, uint32_t>> held;
+  for (const auto& [j, job] : known) {
+    for (uint32_t t = 0; t < job.count; ++t) {
+      const uint32_t number = job.first + t;
+      if (!job.accounts.empty() && accounts_[job.accounts[0]].expected.contains(number)) {
+        ran.emplace_back(j, t);
+      }
+      if (held_.contains(number)) held.emplace_back(j, t);
+    }
+  }
+  accounts_.clear();
+  account_index_.clear();
+  job_at_.clear();
+  settles_.clear();
+  changed_ = available_ = held_ = Roaring();
+  next_number_ = 0;
+  for (const DisruptionBudget& budget : policy_->budgets) {
+    Account& account = accounts_[AccountFor(budget.team, budget.job_class)];
+    if (budget.down) account.down = budget.down;
+    account.stopped = budget.stopped;
+  }
+  for (auto& [key, times] : stops) {
+    if (!times.empty()) accounts_[AccountFor(key.first, key.second)].stops = std::move(times);
+  }
+  for (JobIdx j : book_->live()) {
+    auto before = known.find(j);
+    AddJob(j, first || (before != known.end() && before->second.may_have_run));
+  }
+  for (const auto& [j, task] : ran) {
+    auto it = jobs_.find(j);
+    if (it == jobs_.end()) continue;
+    for (size_t a : it->second.accounts) accounts_[a].expected.add(it->second.first + task);
+  }
+  for (const auto& [j, task] : held) Hold(j, task);
+}
+
+size_t DisruptionLedger::AccountFor(const std::string& team, const std::string& job_class) {
+  auto [it, fresh] = account_index_.try_emplace({team, job_class}, accounts_.size());
+  if (fresh) {
+    Account account;
+    account.name = job_class.empty() ? team : team + " " + job_class;
+    if (job_class.empty()) account.down = policy_->default_down;
+    accounts_.push_back(std::move(account));
+  }
+  return it->second;
+}
+
+std::vector<size_t> DisruptionLedger::AccountsOf(const Job& job) {
+  std::vector<size_t> out = {AccountFor(job.spec.team, "")};
+  const auto of_class = account_index_.find({job.spec.team, job.spec.job_class});
+  if (of_class != account_index_.end()) out.push_back(of_class->second);
+  return out;
+}
+
+void DisruptionLedger::AddJob(JobIdx j, bool may_have_run) {
+  const Job& job = (*book_)[j];
+  if (!job.full || job.life != JobLife::kLive || jobs_.contains(j)) return;
+  Known known;
+  known.accounts = AccountsOf(job);
+  if (job.spec.service) {
+    known.first = next_number_;
+    known.count = static_cast<uint32_t>(job.tasks.size());
+    known.may_have_run = may_have_run;
+    next_number_ += known.count;
+    job_at_[known.first] = j;
+    changed_.addRange(known.first, static_cast<uint64_t>(known.first) + known.count);
+  }
+  jobs_[j] = std::move(known);
+}
+
+void DisruptionLedger::RemoveJob(JobIdx j) {
+  auto it = jobs_.find(j);
+  if (it == jobs_.end()) return;
+  const Known& known = it->second;
+  for (uint32_t n = known.first; n < known.first + known.count; ++n) {
+    for (size_t a : known.accounts) {
+      accounts_[a].expected.remove(n);
+      accounts_[a].unavailable.remove(n);
+    }
+    changed_.remove(n);
+    available_.remove(n);
+    held_.remove(n);
+  }
+  if (known.count > 0) job_at_.erase(known.first);
+  jobs_.erase(it);
+}
+
+void DisruptionLedger::JobChanged(JobIdx j) {
+  if (!active()) return;
+  if ((*book_)[j].life == JobLife::kLive) {
+    AddJob(j, false);
+  } else {
+    RemoveJob(j);
+  }
+}
+
+void DisruptionLedger::ReplicaChanged(JobIdx j, uint32_t task) {
+  if (!active()) return;
+  auto it = jobs_.find(j);
+  if (it != jobs_.end() && task < it->second.count) changed_.add(it->second.first + task);
+}
+
+void DisruptionLedger::ArrayTaskStopped(JobIdx j) {
+  if (!active()) return;
+  auto it = jobs_.find(j);
+  if (it == jobs_.end()) return;
+  for (size_t a : it->second.accounts) {
+    if (accounts_[a].stopped) accounts_[a].stops.push_back(clock_->Now());
+  }
+}
+
+bool DisruptionLedger::InDoubt(const Machine& m) const {
+  return !m.accounted || m.cut || m.returning || m.notice_until >= 0 || m.fails > 0 ||
+         m.probe_fails > 0 || m.failing_since >= 0 || clock_->Now() - m.heard_at > overdue_s_;
+}
+
+void DisruptionLedger::RefreshDoubts() {
+  for (MachIdx mi : fleet_->active()) {
+    const Machine& m = (*fleet_)[mi];
+    const bool doubt = m.service_cores > 0 && InDoubt(m);
+    if (doubt == doubtful_.contains(mi)) continue;
+    if (doubt) {
+      doubtful_.add(mi);
+    } else {
+      doubtful_.remove(mi);
+    }
+    for (const PlacedAttempt& s : m.attempts) {
+      if (s.service && s.job != kNone) ReplicaChanged(s.job, s.task);
+    }
+  }
+}
+
+void DisruptionLedger::Refresh() {
+  if (!active()) return;
+  RefreshDoubts();
+  const double now = clock_->Now();
+  while (!settles_.empty() && settles_.begin()->first <= now) {
+    changed_.add(settles_.begin()->second);
+    settles_.erase(settles_.begin());
+  }
+  const Roaring changed = std::exchange(changed_, Roaring());
+  for (uint32_t number : changed) Look(number);
+  for (Account& account : accounts_) {
+    while (!account.stops.empty() && now - account.stops.front() > policy_->times.window_s) {
+      account.stops.pop_front();
+    }
+  }
+}
+
+DisruptionLedger::Replica DisruptionLedger::ReplicaOf(uint32_t number) const {
+  auto it = job_at_.upper_bound(number);
+  if (it == job_at_.begin()) return {};
+  --it;
+  const Known& known = jobs_.at(it->second);
+  if (number >= known.first + known.count) return {};
+  return {it->second, number - known.first};
+}
+
+void DisruptionLedger::Look(uint32_t number) {
+  ++steps_;
+  const Replica replica = ReplicaOf(number);
+  if (replica.job == kNone) return;
+  const Known& known = jobs_.at(replica.job);
+  const Task& task = (*book_)[replica.job].tasks[replica.task];
+  const PlacedAttempt* attempt = nullptr;
+  if (task.phase == TaskPhase::kPlaced) {
+    attempt = fleet_->AttemptOf(task.machine, replica.job, replica.task, task.attempt);
+  }
+  const bool runs = attempt != nullptr && !attempt->gone && attempt->keep &&
+                    attempt->state == TaskState::kRunning && attempt->running_since >= 0;
+  const double settled_at = runs ? attempt->running_since + policy_->times.settle_s : 0;
+  const bool settled = runs && clock_->Now() >= settled_at;
+  if (runs && !settled) settles_.emplace(settled_at, number);
+  const bool available = settled && !doubtful_.contains(task.machine) && !held_.contains(number);
+  if (available) {
+    available_.add(number);
+  } else {
+    available_.remove(number);
+  }
+  for (size_t a : known.accounts) {
+    Account& account = accounts_[a];
+    if (runs || known.may_have_run) account.expected.add(number);
+    if (!available && account.expected.contains(number)) {
+      account.unavailable.add(number);
+    } else {
+      account.unavailable.remove(number);
+    }
+  }
+}
+
+Wait DisruptionLedger::Within(const Known& job, uint64_t more) const {
+  for (size_t a : job.accounts) {
+    const Account& account = accounts_[a];
+    if (!account.down) continue;
+    const uint64_t most = account.down->Of(account.expected.cardinality());
+    const uint64_t down = account.unavailable.cardinality();
+    if (down + more <= most) continue;
+    return {WaitReason::kBudget,
+            account.name + ", " + std::to_string(down) + " of at most " + std::to_string(most)};
+  }
+  return {};
+}
+
+Wait DisruptionLedger::AllowsReplica(JobIdx j) const {
+  if (!active()) return {};
+  if (!confirmed_) return {WaitReason::kPolicyNotRead, ""};
+  auto it = jobs_.find(j);
+  if (it == jobs_.end()) return {};
+  return Within(it->second, 1);
+}
+
+Wait DisruptionLedger::WithinBudget(JobIdx j) const {
+  if (!active()) return {};
+  if (!confirmed_) return {WaitReason::kPolicyNotRead, ""};
+  auto it = jobs_.find(j);
+  if (it == jobs_.end()) return {};
+  return Within(it->second, 0);
+}
+
+size_t DisruptionLedger::StopsInWindow(const Account& account) const {
+  const double from = clock_->Now() - policy_->times.window_s;
+  const auto recent = std::lower_bound(account.stops.begin(), account.stops.end(), from);
+  return static_cast<size_t>(account.stops.end() - recent);
+}
+
+Wait DisruptionLedger::AllowsStops(const std::vector<JobIdx>& tasks) const {
+  if (!active()) return {};
+  if (!confirmed_) return {WaitReason::kPolicyNotRead, ""};
+  std::map<size_t, size_t> more;
+  for (JobIdx j : tasks) {
+    auto it = jobs_.find(j);
+    if (it == jobs_.end()) continue;
+    for (size_t a : it->second.accounts) ++more[a];
+  }
+  for (const auto& [a, count] : more) {
+    const Account& account = accounts_[a];
+    if (!account.stopped) continue;
+    if (clock_->Now() < stops_known_from_) return {WaitReason::kTakingOver, account.name};
+    const size_t stopped = StopsInWindow(account);
+    if (stopped + count <= *account.stopped) continue;
+    return {WaitReason::kStopBudget, account.name + ", " + std::to_string(stopped) +
+                                         " of at most " + std::to_string(*account.stopped)};
+  }
+  return {};
+}
+
+void DisruptionLedger::Hold(JobIdx j, uint32_t task) {
+  auto it = jobs_.find(j);
+  if (it == jobs_.end() || task >= it->second.count) return;
+  held_.add(it->second.first + task);
+  Look(it->second.first + task);
+}
+
+void DisruptionLedger::Release(JobIdx j, uint32_t task) {
+  auto it = jobs_.find(j);
+  if (it == jobs_.end() || task >= it->second.count) return;
+  held_.remove(it->second.first + task);
+  Look(it->second.first + task);
+}
+
+bool DisruptionLedger::Available(JobIdx j, uint32_t task) const {
+  auto it = jobs_.find(j);
+  return it != jobs_.end() && task < it->second.count &&
+         available_.contains(it->second.first + task);
+}
+
+uint64_t DisruptionLedger::AvailableOf(JobIdx j) const {
+  auto it = jobs_.find(j);
+  if (it == jobs_.end()) return 0;
+  uint64_t count = 0;
+  for (uint32_t t = 0; t < it->second.count; ++t) {
+    count += available_.contains(it->second.first + t) ? 1 : 0;
+  }
+  return count;
+}
+
+uint64_t DisruptionLedger::DownOf(const std::string& team) const {
+  auto it = account_index_.find({team, ""});
+  return it == account_index_.end() ? 0 : accounts_[it->second].unavailable.cardinality();
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/drain/drain_members.cc
@@ -0,0 +1,92 @@
+#include "drain/drain_members.h"
+
+#include <algorithm>
+
+namespace deckhall {
+
+void DrainMembers::Use(std::shared_ptr<const DisruptionPolicy> policy,
+                       std::vector<double> since_wall) {
+  policy_ = std::move(policy);
+  since_wall_ = std::move(since_wall);
+  CountPools();
+  members_.assign(policy_ == nullptr ? 0 : policy_->drains.size(), Roaring());
+  unknown_ = Roaring();
+  looked_at_ = 0;
+  by_network_ = policy_ != nullptr && std::any_of(policy_->drains.begin(), policy_->drains.end(),
+                                                  [](const DrainOrder& drain) {
+                                                    return drain.machines.network.has_value();
+                                                  });
+  for (MachIdx mi : fleet_->active()) {
+    Machine& m = (*fleet_)[mi];
+    m.cordoned = m.drained = false;
+  }
+  Sync();
+  fleet_->changed = true;
+}
+
+void DrainMembers::CountPools() {
+  pools_ = rentals_->pools().size();
+  all_closed_ =
+      policy_ != nullptr && pools_ > 0 &&
+      std::all_of(rentals_->pools().begin(), rentals_->pools().end(), [this](const Pool& pool) {
+        return std::any_of(
+            policy_->drains.begin(), policy_->drains.end(), [this, &pool](const DrainOrder& drain) {
+              return drain.machines.MayMatch(book_->types[pool.type], book_->zones[pool.zone]);
+            });
+      });
+}
+
+bool DrainMembers::ReplacesOnly(const DrainOrder& drain) const {
+  return drain.machines.everything || all_closed_;
+}
+
+bool DrainMembers::Known(const Machine& m) const {
+  return m.type != kNone && m.zone != kNone && (!by_network_ || !m.endpoint.empty());
+}
+
+bool DrainMembers::Add(MachIdx mi) {
+  Machine& m = (*fleet_)[mi];
+  if (m.gone) return false;
+  bool added = false;
+  for (size_t d = 0; d < members_.size(); ++d) {
+    const DrainOrder& drain = policy_->drains[d];
+    if (!drain.machines.Matches(m.name, book_->types[m.type], book_->zones[m.zone], m.endpoint)) {
+      continue;
+    }
+    if (ReplacesOnly(drain) && m.rented_wall > since_wall_[d]) continue;
+    members_[d].add(mi);
+    m.cordoned = true;
+    // Room that a drain needs is emptied by the drain alone.
+    if (m.emptying) m.emptying = m.drain = false;
+    if (!drain.paused) m.drained = true;
+    added = true;
+  }
+  return added;
+}
+
+bool DrainMembers::Sync() {
+  if (policy_ == nullptr || policy_->drains.empty()) return false;
+  // The machine types became known: whether all pools are closed did too.
+  if (pools_ != rentals_->pools().size()) Use(policy_, since_wall_);
+  bool added = false;
+  const Roaring unknown = std::exchange(unknown_, Roaring());
+  auto look = [this, &added](MachIdx mi) {
+    if (Known((*fleet_)[mi])) {
+      added = Add(mi) || added;
+    } else if (!(*fleet_)[mi].gone) {
+      unknown_.add(mi);
+    }
+  };
+  for (MachIdx mi : unknown) look(mi);
+  for (; looked_at_ < fleet_->size(); ++looked_at_) look(looked_at_);
+  return added;
+}
+
+bool DrainMembers::Closes(const std::string& type, const std::string& zone) const {
+  if (policy_ == nullptr || all_closed_) return false;
+  return std::any_of(
+      policy_->drains.begin(), policy_->drains.end(),
+      [&type, &zone](const DrainOrder& drain) { return drain.machines.MayMatch(type, zone); });
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/drain/drainer.cc
@@ -0,0 +1,486 @@
+#include "drain/drainer.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace deckhall {
+namespace {
+
+// Machines that one tick looks at, over all drains.
+constexpr size_t kMostLooks = 64;
+// A drain's machines are put in order anew after so many seconds.
+constexpr double kSortEvery = 5;
+constexpr double kWriteEvery = 5;
+// A step that is not durable within so many seconds is not taken.
+constexpr double kRecordWithin = 10;
+// Replicas for which room elsewhere is got ready.
+constexpr size_t kRoomAhead = 16;
+constexpr double kFirstPause = 60;
+constexpr double kLongestPause = 3600;
+// Beyond the time to save, so that the stop has reached the task.
+constexpr double kSaveMargin = 1;
+
+}  // namespace
+
+Drainer::Drainer(const DrainerPorts& ports)
+    : book_(ports.book),
+      fleet_(ports.fleet),
+      free_capacity_(ports.free_capacity),
+      gangs_(ports.gangs),
+      store_(ports.store),
+      ledger_(ports.ledger),
+      clock_(ports.clock),
+      members_(ports.book, ports.fleet, ports.rentals),
+      step_book_(ports.book, ports.fleet, ports.store, ports.clock),
+      places_(ports.book, ports.fleet, ports.free_capacity, ports.clock) {}
+
+bool Drainer::LoadRow(RowId row, const std::string& text) {
+  DrainProgress progress;
+  if (DecodeProgress(text, &progress)) {
+    store_->Reserve(row, kProgressBytes);
+    const std::string name = progress.drain;
+    loaded_[name] = {row, std::move(progress)};
+    return true;
+  }
+  return step_book_.LoadRow(row, text);
+}
+
+void Drainer::FinishLoad() { step_book_.FinishLoad(); }
+
+void Drainer::Use(std::shared_ptr<const DisruptionPolicy> policy, bool confirmed) {
+  confirmed_ = confirmed;
+  if (policy == policy_) return;
+  policy_ = std::move(policy);
+  for (Drain& drain : drains_) {
+    loaded_[drain.progress.drain] = {drain.row, drain.progress};
+  }
+  drains_.clear();
+  std::vector<double> since;
+  if (policy_ != nullptr) {
+    for (const DrainOrder& order : policy_->drains) {
+      Drain& drain = drains_.emplace_back();
+      drain.order = &order;
+      drain.moved_at = clock_->Now();
+      auto before = loaded_.find(order.name);
+      if (before != loaded_.end()) {
+        drain.row = before->second.first;
+        drain.progress = before->second.second;
+        loaded_.erase(before);
+      } else {
+        drain.progress.drain = order.name;
+        drain.progress.since_wall = clock_->Wall();
+        spdlog::info("drain {} begins", order.name);
+      }
+      since.push_back(drain.progress.since_wall);
+    }
+  }
+  members_.Use(policy_, std::move(since));
+  image_wait_since_.clear();
+  next_write_ = 0;
+}
+
+Drainer::Drain* Drainer::Find(const std::string& name) {
+  auto it = std::find_if(drains_.begin(), drains_.end(),
+                         [&name](const Drain& drain) { return drain.order->name == name; });
+  return it == drains_.end() ? nullptr : &*it;
+}
+
+bool Drainer::InForce(const std::string& name) const {
+  return policy_ != nullptr && policy_->Find(name) != nullptr && !policy_->Find(name)->paused;
+}
+
+void Drainer::Progressed(const std::string& name) {
+  if (Drain* drain = Find(name)) drain->moved_at = clock_->Now();
+}
+
+double Drainer::GraceOf(const Job& job) {
+  return job.spec.checkpoint_s > 0 ? job.spec.save_s + kSaveMargin : 0;
+}
+
+PlacedAttempt* Drainer::SlotOf(const DrainStep& step) {
+  if (step.from == kNone) return nullptr;
+  return fleet_->AttemptOf(step.from, step.job, step.task, step.attempt);
+}
+
+void Drainer::ReleasePlace(DrainStep* step) {
+  if (step->place == kNone) return;
+  free_capacity_->ReleaseRoom(step->place, (*book_)[step->job]);
+  step->place = kNone;
+  fleet_->changed = true;
+}
+
+void Drainer::Tick() {
+  ledger_->Refresh();
+  // Without a policy the steps of an earlier one are still followed to their end.
+  AdvanceSteps();
+  room_wanted_.clear();
+  if (policy_ == nullptr) return;
+  if (members_.Sync()) {
+    for (Drain& drain : drains_) drain.sorted_at = -1;
+  }
+  StartSteps();
+  double ahead = 0;
+  for (JobIdx j : room_wanted_) ahead += (*book_)[j].spec.cores;
+  free_capacity_->SetRoomAhead(ahead);
+  for (Drain& drain : drains_) RefreshDrain(&drain);
+  if (clock_->Now() < next_write_) return;
+  next_write_ = clock_->Now() + kWriteEvery;
+  for (Drain& drain : drains_) Write(&drain);
+  if (!confirmed_) return;
+  // What is left of drains that were withdrawn.
+  for (const auto& [name, before] : std::exchange(loaded_, {})) {
+    spdlog::info("drain {} is withdrawn", name);
+    if (before.first != kNoRow) store_->Remove(before.first);
+  }
+}
+
+void Drainer::AdvanceSteps() {
+  step_book_.RemoveIf([this](DrainStep* step) {
+    if (Advance(step)) return false;
+    ledger_->Release(step->job, step->task);
+    ReleasePlace(step);
+    return true;
+  });
+}
+
+bool Drainer::Advance(DrainStep* step) {
+  ++looked_at_;
+  if ((*book_)[step->job].life != JobLife::kLive) return false;
+  switch (step->phase) {
+    case StepPhase::kAdopted:
+      return AdvanceAdopted(step);
+    case StepPhase::kRecording:
+      return AdvanceRecording(step);
+    case StepPhase::kStopping: {
+      const PlacedAttempt* slot = SlotOf(*step);
+      if (slot != nullptr && !slot->gone) return true;
+      step_book_.SetPhase(step, StepPhase::kReplacing);
+      fleet_->changed = true;
+      return true;
+    }
+    case StepPhase::kReplacing:
+      return AdvanceReplacing(step);
+  }
+  return false;
+}
+
+bool Drainer::AdvanceAdopted(DrainStep* step) {
+  const Task& task = (*book_)[step->job].tasks[step->task];
+  if (task.phase == TaskPhase::kUnseen) return true;
+  const PlacedAttempt* slot = SlotOf(*step);
+  if (slot != nullptr && !slot->gone && slot->keep) {
+    // The stop never came, nor can it any more: the machine has shown this term's token.
+    spdlog::info("{} still runs on {}: the step of the leader before was not carried out",
+                 slot->name, (*fleet_)[step->from].name);
+    return false;
+  }
+  step_book_.SetPhase(step, StepPhase::kReplacing);
+  return true;
+}
+
+bool Drainer::AdvanceRecording(DrainStep* step) {
+  const PlacedAttempt* slot = SlotOf(*step);
+  // It ended by itself, or was stopped for another reason.
+  if (slot == nullptr || slot->gone || !slot->keep) return false;
+  if (!step_book_.Durable(*step)) return clock_->Now() - step->phase_since < kRecordWithin;
+  return StopReplica(step);
+}
+
+bool Drainer::StopReplica(DrainStep* step) {
+  PlacedAttempt* slot = SlotOf(*step);
+  const Job& job = (*book_)[step->job];
+  // Since the choice machines may have been lost, the budget lowered, or the place taken.
+  if (!InForce(step->drain) || ledger_->WithinBudget(step->job)) return false;
+  if (!free_capacity_->Current(step->place).usable) return false;
+  spdlog::info("drain {}: moving {} off {}, to {}", step->drain, slot->name,
+               (*fleet_)[step->from].name, (*fleet_)[step->place].name);
+  fleet_->Unwant(step->from, slot, GraceOf(job));
+  fleet_->changed = true;
+  // From here on it counts as what it is: down until its replacement is healthy.
+  ledger_->Release(step->job, step->task);
+  step_book_.SetPhase(step, StepPhase::kStopping);
+  return true;
+}
+
+double Drainer::BoundOf(const DrainStep& step) const {
+  const double within = policy_ != nullptr ? policy_->times.replace_within_s : 0;
+  return within * static_cast<double>(1U << std::min(step.tries, 16U));
+}
+
+bool Drainer::AdvanceReplacing(DrainStep* step) {
+  if (ledger_->Available(step->job, step->task)) {
+    if (Drain* drain = Find(step->drain)) ++drain->progress.replicas_moved;
+    Progressed(step->drain);
+    pauses_.erase(step->job);
+    return false;
+  }
+  if (policy_ == nullptr) return false;
+  if (clock_->Now() - step->phase_since < BoundOf(*step)) return true;
+  return TryElsewhere(step);
+}
+
+bool Drainer::TryElsewhere(DrainStep* step) {
+  Job& job = (*book_)[step->job];
+  const Task& task = job.tasks[step->task];
+  ++step->tries;
+  step->phase_since = clock_->Now();
+  ReleasePlace(step);
+  if (step->tries >= policy_->times.replacement_tries) {
+    Pause& pause = pauses_[step->job];
+    pause.seconds = std::clamp(pause.seconds * 2, kFirstPause, kLongestPause);
+    pause.until = clock_->Now() + pause.seconds;
+    if (Drain* drain = Find(step->drain)) ++drain->progress.steps_given_up;
+    spdlog::warn("drain {}: the replacement of {}/{} does not become healthy; given up",
+                 step->drain, job.id, step->task);
+    return false;
+  }
+  if (task.phase != TaskPhase::kPlaced) return true;
+  PlacedAttempt* slot = fleet_->AttemptOf(task.machine, step->job, step->task, task.attempt);
+  if (slot == nullptr || slot->running_since >= 0) return true;
+  spdlog::warn("drain {}: {} does not start on {}; another machine is tried", step->drain,
+               slot->name, (*fleet_)[task.machine].name);
+  if (std::find(job.failed_on.begin(), job.failed_on.end(), task.machine) == job.failed_on.end()) {
+    job.failed_on.push_back(task.machine);
+  }
+  fleet_->Unwant(task.machine, slot, 0);
+  fleet_->changed = true;
+  return true;
+}
+
+void Drainer::PlaceReplacements() {
+  for (DrainStep& step : step_book_.steps()) {
+    if (step.phase != StepPhase::kReplacing || step.place == kNone) continue;
+    const MachIdx place = step.place;
+    const Job& job = (*book_)[step.job];
+    const TaskPhase phase = job.tasks[step.task].phase;
+    ReleasePlace(&step);
+    if (phase != TaskPhase::kWaiting || job.life != JobLife::kLive) continue;
+    if (clock_->Now() < job.backoff_until || !free_capacity_->TeamRoom(job)) continue;
+    if (!places_.StillFits(step.job, place)) continue;
+    fleet_->Place(place, step.job, step.task, fleet_->NewAttempt());
+    free_capacity_->Take(job, place);
+    (*fleet_)[place].idle_since = -1;
+  }
+}
+
+bool Drainer::PastDeadline(const Drain& drain) const {
+  return drain.order->deadline_s &&
+         clock_->Wall() >= drain.progress.since_wall + *drain.order->deadline_s;
+}
+
+void Drainer::SortMachines(Drain* drain) {
+  const auto index =
+      static_cast<size_t>(std::find_if(drains_.begin(), drains_.end(),
+                                       [drain](const Drain& other) { return &other == drain; }) -
+                          drains_.begin());
+  drain->sorted_at = clock_->Now();
+  drain->queue.clear();
+  std::vector<MachIdx> gone;
+  for (uint32_t mi : members_.Of(index)) {
+    ++looked_at_;
+    if ((*fleet_)[mi].gone) {
+      gone.push_back(mi);
+    } else {
+      drain->queue.push_back(mi);
+    }
+  }
+  for (MachIdx mi : gone) {
+    members_.Remove(index, mi);
+    ++drain->progress.machines_done;
+    drain->moved_at = clock_->Now();
+  }
+  std::stable_sort(drain->queue.begin(), drain->queue.end(), [this](MachIdx a, MachIdx b) {
+    return (*fleet_)[a].service_cores < (*fleet_)[b].service_cores;
+  });
+  drain->cursor = 0;
+}
+
+void Drainer::StartSteps() {
+  std::vector<Drain*> turn;
+  for (Drain& drain : drains_) {
+    const bool due = drain.sorted_at < 0 || clock_->Now() - drain.sorted_at > kSortEvery;
+    if (due && drain.cursor >= drain.queue.size()) SortMachines(&drain);
+    if (drain.cursor >= drain.queue.size()) drain.cursor = 0;
+    if (!drain.queue.empty()) turn.push_back(&drain);
+  }
+  // The one that had its last step longest ago goes first, so that none of those that want the
+  // same budget gets all of it.
+  std::stable_sort(turn.begin(), turn.end(),
+                   [](const Drain* a, const Drain* b) { return a->stepped_at < b->stepped_at; });
+  const size_t share = turn.empty() ? 0 : std::max<size_t>(1, kMostLooks / turn.size());
+  std::map<Drain*, size_t> looks;
+  for (Drain* drain : turn) looks[drain] = std::min(share, drain->queue.size());
+  bool any = true;
+  while (any) {
+    any = false;
+    for (Drain* drain : turn) any = StartOne(drain, &looks[drain]) || any;
+  }
+}
+
+bool Drainer::StartOne(Drain* drain, size_t* looks) {
+  while (*looks > 0) {
+    if (drain->cursor >= drain->queue.size()) {
+      // Once round; the rest of the looks would see the same again.
+      *looks = 0;
+      return false;
+    }
+    const MachIdx mi = drain->queue[drain->cursor];
+    ++looked_at_;
+    --*looks;
+    if (!Examine(drain, mi)) {
+      ++drain->cursor;
+      continue;
+    }
+    // Others go first; the same machine is looked at again in the next round.
+    drain->stepped_at = drain->moved_at = clock_->Now();
+    return true;
+  }
+  return false;
+}
+
+bool Drainer::Examine(Drain* drain, MachIdx mi) {
+  const Machine& m = (*fleet_)[mi];
+  if (m.gone) return false;
+  if (drain->order->paused) {
+    drain->wait = {WaitReason::kPaused, ""};
+    return false;
+  }
+  if (!confirmed_) {
+    drain->wait = {WaitReason::kPolicyNotRead, ""};
+    return false;
+  }
+  if (m.attempts.empty()) {
+    drain->wait = {WaitReason::kReturning, ""};
+    return false;
+  }
+  // The books of the machine may grow while it is looked at, but nothing is taken out.
+  for (size_t i = 0; i < (*fleet_)[mi].attempts.size(); ++i) {
+    ++looked_at_;
+    PlacedAttempt& slot = (*fleet_)[mi].attempts[i];
+    if (slot.gone || !slot.keep || slot.job == kNone) continue;
+    const bool begun =
+        slot.service ? ExamineReplica(drain, mi, slot) : ExamineArrayTask(drain, mi, &slot);
+    if (begun) return true;
+  }
+  return false;
+}
+
+Wait Drainer::MayMove(MachIdx mi, const PlacedAttempt& slot) const {
+  const Job& job = (*book_)[slot.job];
+  if (step_book_.steps().size() >= policy_->times.steps_at_once) {
+    return {WaitReason::kStepsAtOnce, ""};
+  }
+  if (job.unseen > 0) return {WaitReason::kTakingOver, job.id};
+  if (slot.state != TaskState::kRunning) return {WaitReason::kReplicaStarting, slot.name};
+  if ((*fleet_)[mi].fails > 0 || (*fleet_)[mi].probe_fails > 0) {
+    return {WaitReason::kMachineSilent, (*fleet_)[mi].name};
+  }
+  if (!ledger_->Available(slot.job, slot.task)) return {WaitReason::kReplicaStarting, slot.name};
+  const uint64_t up = ledger_->AvailableOf(slot.job);
+  auto pause = pauses_.find(slot.job);
+  if (pause != pauses_.end() && (up < job.tasks.size() || clock_->Now() < pause->second.until)) {
+    return {WaitReason::kReplacementLate, job.id};
+  }
+  if (job.tasks.size() > 1 && up < 2) return {WaitReason::kLastReplica, job.id};
+  return ledger_->AllowsReplica(slot.job);
+}
+
+bool Drainer::ExamineReplica(Drain* drain, MachIdx mi, const PlacedAttempt& slot) {
+  if (slot.state != TaskState::kRunning) MoveStuckReplica(mi, slot);
+  if (step_book_.Moving(slot.job, slot.task)) return false;
+  Wait wait = MayMove(mi, slot);
+  PlaceFinder::Result place;
+  if (!wait) {
+    auto since = image_wait_since_.try_emplace(slot.job, clock_->Now()).first;
+    const bool fetch = clock_->Now() - since->second >= policy_->times.image_wait_s;
+    place = places_.Find(slot.job, mi, fetch);
+    wait = place.wait;
+  }
+  if (wait) {
+    drain->wait = wait;
+    if (room_wanted_.size() < kRoomAhead) room_wanted_.push_back(slot.job);
+    return false;
+  }
+  image_wait_since_.erase(slot.job);
+  const Job& job = (*book_)[slot.job];
+  free_capacity_->HoldRoom(place.machine, job);
+  ledger_->Hold(slot.job, slot.task);
+  step_book_.Begin(drain->order->name, slot.job, slot.task, mi, slot.attempt, place.machine);
+  drain->wait = {WaitReason::kReplacing, job.id};
+  return true;
+}
+
+// A replica that does not come up on a drained machine is down already: it is tried elsewhere.
+void Drainer::MoveStuckReplica(MachIdx mi, const PlacedAttempt& slot) {
+  if (slot.running_since >= 0 || !slot.keep) return;
+  if (clock_->Now() - slot.launched_at < policy_->times.replace_within_s) return;
+  fleet_->Unwant(mi, fleet_->AttemptOf(mi, slot.job, slot.task, slot.attempt), 0);
+  fleet_->changed = true;
+}
+
+bool Drainer::ExamineArrayTask(Drain* drain, MachIdx mi, PlacedAttempt* slot) {
+  const Job& job = (*book_)[slot->job];
+  if (!PastDeadline(*drain)) {
+    drain->wait = {WaitReason::kArraysRunning, job.id};
+    return false;
+  }
+  // A gang is stopped whole or not at all.
+  const size_t count = job.spec.gang ? job.on.size() : 1;
+  const Wait wait = ledger_->AllowsStops(std::vector<JobIdx>(count, slot->job));
+  if (wait) {
+    drain->wait = wait;
+    return false;
+  }
+  spdlog::info("drain {}: past its deadline, stopping {} on {}", drain->order->name, slot->name,
+               (*fleet_)[mi].name);
+  drain->progress.tasks_stopped += count;
+  if (job.spec.gang) {
+    gangs_->StopWhole(slot->job, "a drain is past its deadline");
+  } else {
+    fleet_->Unwant(mi, slot, GraceOf(job));
+  }
+  fleet_->changed = true;
+  return true;
+}
+
+void Drainer::RefreshDrain(Drain* drain) {
+  DrainProgress& p = drain->progress;
+  p.replicas_moving = step_book_.CountOf(p.drain);
+  const bool was_done = p.state == DrainState::kDone;
+  p.machines_left = drain->queue.size();
+  const bool listed = drain->sorted_at >= 0 && confirmed_;
+  p.state = drain->order->paused                                       ? DrainState::kPaused
+            : listed && drain->queue.empty() && p.replicas_moving == 0 ? DrainState::kDone
+                                                                       : DrainState::kActive;
+  if (p.state == DrainState::kDone) drain->wait = {};
+  if (p.state == DrainState::kDone && !was_done) {
+    spdlog::info("drain {} is done: {} machines, {} replicas moved", p.drain, p.machines_done,
+                 p.replicas_moved);
+    next_write_ = 0;
+  }
+  p.why = Words(drain->wait);
+  p.waiting_since_wall = clock_->Wall() - (clock_->Now() - drain->moved_at);
+}
+
+void Drainer::Write(Drain* drain) {
+  // The time since which it waits alone is no reason to write.
+  DrainProgress shown = drain->progress;
+  if (shown.why.empty()) shown.waiting_since_wall = 0;
+  std::string text = EncodeProgress(shown);
+  if (text == drain->written) return;
+  drain->written = text;
+  if (drain->row == kNoRow) {
+    drain->row = store_->Add(std::move(text), kProgressBytes, WriteUrgency::kSoon);
+  } else {
+    store_->Set(drain->row, std::move(text), kProgressBytes, WriteUrgency::kLazy);
+  }
+}
+
+std::vector<DrainProgress> Drainer::Progress() const {
+  std::vector<DrainProgress> out;
+  for (const Drain& drain : drains_) out.push_back(drain.progress);
+  return out;
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/drain/policy.h
@@ -0,0 +1,85 @@
+// What operators want drained, and how much may be down meanwhile: the typed form of the
+// disruption file.
+#pragma once
+
+#include <boost/asio/ip/network_v4.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/settings.h"
+
+namespace deckhall {
+
+// How many replicas may be down at the same time.
+struct DownLimit {
+  enum class Unit { kReplicas, kShare };
+  Unit unit = Unit::kReplicas;
+  double amount = 1;          // replicas, or a share from 0 to 1
+  bool at_least_one = false;  // a share that rounds down to nothing still allows one
+
+  // The limit for a team that has so many replicas.
+  uint64_t Of(uint64_t replicas) const;
+};
+
+// Limits for a team, or for one class of its jobs. Several that apply hold together.
+struct DisruptionBudget {
+  std::string team;
+  std::string job_class;  // empty: all of the team's
+  std::optional<DownLimit> down;
+  // Tasks of arrays that may be lost or stopped within DrainTimes::window_s.
+  std::optional<uint32_t> stopped;
+};
+
+// Which machines a drain is about. All criteria that are given must hold; names are one of
+// them, and match any of the listed ones.
+struct MachineSelector {
+  std::vector<std::string> names;
+  std::string type;
+  std::string zone;
+  std::optional<boost::asio::ip::network_v4> network;
+  bool everything = false;
+
+  // Whether the drain is about all machines of that type and zone, those to come included.
+  bool MayMatch(const std::string& machine_type, const std::string& machine_zone) const;
+  bool Matches(const std::string& name, const std::string& machine_type,
+               const std::string& machine_zone, const std::string& endpoint) const;
+};
+
+struct DrainOrder {
+  std::string name;
+  MachineSelector machines;
+  // Counted from when the drain was first taken up; none: arrays end by themselves.
+  std::optional<double> deadline_s;
+  bool paused = false;
+};
+
+// Times and bounds of steps.
+struct DrainTimes {
+  double settle_s = 10;            // a replacement has run for so long before it counts
+  double replace_within_s = 120;   // a step that takes longer is tried elsewhere
+  double image_wait_s = 20;        // after it, a place without the image will do
+  double window_s = 300;           // over which stopped tasks of arrays are counted
+  uint32_t steps_at_once = 64;     // in flight, over all drains
+  uint32_t replacement_tries = 3;  // after them a step is left to the ordinary placement
+};
+
+struct DisruptionPolicy {
+  uint64_t revision = 0;
+  DownLimit default_down;  // for teams without a budget of their own
+  std::vector<DisruptionBudget> budgets;
+  std::vector<DrainOrder> drains;
+  DrainTimes times;
+  std::string text;  // as it was read
+
+  const DrainOrder* Find(const std::string& drain) const;
+};
+
+// Reads the disruption file. Returns the reason why the text is none, or an empty string.
+std::string ReadPolicy(const std::string& text, DisruptionPolicy* out);
+
+// Checks what only the platform's settings tell: teams and zones. Returns a reason likewise.
+std::string CheckPolicy(const DisruptionPolicy& policy, const Settings& settings);
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/drain/policy_replicator.cc
@@ -0,0 +1,125 @@
+#include "drain/policy_replicator.h"
+
+#include <spdlog/spdlog.h>
+
+#include "wire/json.h"
+
+namespace deckhall {
+namespace {
+
+constexpr double kReadEvery = 5;  // seconds
+constexpr double kRetryAfter = 1;
+// Of a value, so that its size may be counted in another way than ours.
+constexpr double kValueShare = 0.85;
+
+}  // namespace
+
+std::string EncodePolicy(const DisruptionPolicy& policy) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.StartObject();
+  w.Key("revision");
+  w.Uint64(policy.revision);
+  PutString(w, "text", policy.text);
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+size_t MostPolicyBytes(const Settings& settings) {
+  return static_cast<size_t>(settings.state_kept.value_kb * 1024 * kValueShare);
+}
+
+void PolicyReplicator::Offer(std::shared_ptr<const DisruptionPolicy> local) {
+  local_ = std::move(local);
+  ReadSoon();
+}
+
+void PolicyReplicator::Tick() {
+  if (local_ == nullptr || busy_ || clock_->Now() < next_read_) return;
+  Read();
+}
+
+void PolicyReplicator::Read() {
+  busy_ = true;
+  next_read_ = clock_->Now() + kReadEvery;
+  state_->Get(kKey, [this, asked_at = clock_->Now()](const StateAnswer& answer) {
+    busy_ = false;
+    if (answer.outcome != StateOutcome::kOk) {
+      next_read_ = clock_->Now() + kRetryAfter;
+      return;
+    }
+    Stored(answer, asked_at);
+  });
+}
+
+void PolicyReplicator::Stored(const StateAnswer& answer, double asked_at) {
+  if (!answer.found) {
+    Write(0);
+    return;
+  }
+  const KvRow& row = answer.rows.front();
+  rapidjson::Document doc;
+  uint64_t revision = 0;
+  std::string text;
+  const bool readable = ParseJson(row.value, &doc) && JsonU64(doc, "revision", &revision) &&
+                        JsonString(doc, "text", &text);
+  if (!readable) {
+    Complain("the stored disruption policy is unreadable; the file's takes its place");
+    Write(row.version);
+    return;
+  }
+  if (revision < local_->revision) {
+    Write(row.version);
+    return;
+  }
+  if (revision == local_->revision && text != local_->text) {
+    Complain("revision " + std::to_string(revision) +
+             " of the disruption file differs from the one in force; raise its revision");
+  }
+  if (in_force_ == nullptr || in_force_->text != text) {
+    if (!Adopt(text)) return;
+  }
+  confirmed_at_ = asked_at;
+}
+
+bool PolicyReplicator::Adopt(const std::string& text) {
+  if (text == local_->text) {
+    in_force_ = local_;
+  } else {
+    auto policy = std::make_shared<DisruptionPolicy>();
+    std::string bad = ReadPolicy(text, policy.get());
+    if (bad.empty()) bad = CheckPolicy(*policy, *settings_);
+    if (!bad.empty()) {
+      Complain("the stored disruption policy can't be used here: " + bad);
+      return false;
+    }
+    in_force_ = std::move(policy);
+  }
+  spdlog::info("disruption policy {} is in force: {} budgets, {} drains", in_force_->revision,
+               in_force_->budgets.size(), in_force_->drains.size());
+  return true;
+}
+
+void PolicyReplicator::Write(uint64_t version) {
+  Txn txn;
+  txn.conditions.push_back({kKey, version});
+  txn.writes.push_back({kKey, EncodePolicy(*local_), 0});
+  busy_ = true;
+  state_->Commit(txn, [this](const StateAnswer& answer) {
+    busy_ = false;
+    if (answer.outcome == StateOutcome::kRejected) {
+      Complain("the state service rejects the disruption policy");
+      return;
+    }
+    // Written or overtaken: what is stored now is read again.
+    next_read_ = answer.outcome == StateOutcome::kOk ? 0 : clock_->Now() + kRetryAfter;
+  });
+}
+
+void PolicyReplicator::Complain(const std::string& what) {
+  if (what == complained_) return;
+  complained_ = what;
+  spdlog::error("{}", what);
+}
+
+}  // namespace deckhall
--- /dev/null
+++ b/src/drain/wait_reason.h
@@ -0,0 +1,42 @@
+// Why a voluntary disruption does not happen now, for operators and for tests.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace deckhall {
+
+enum class WaitReason : uint8_t {
+  kNothing,
+  kPaused,           // the drain is paused
+  kPolicyNotRead,    // the state service has not told this leader the policy in force
+  kTakingOver,       // it is not known yet what runs where
+  kBudget,           // as much is down as the budget allows
+  kStopBudget,       // as many tasks of arrays were stopped as the budget allows
+  kLastReplica,      // no other replica of the job is up
+  kReplacementLate,  // an earlier replacement of the job does not become healthy
+  kNoPlace,          // no machine has room for the replacement
+  kNoImage,          // room is only where the image would have to be fetched
+  kZoneRule,         // one_zone or apart leave no zone
+  kReplicaStarting,  // a replica there does not run yet
+  kMachineSilent,    // the machine does not answer
+  kArraysRunning,    // tasks of arrays end by themselves
+  kStepsAtOnce,      // as many steps are in flight as there may be
+  kStateService,     // a step is not durable yet
+  kReturning,        // the empty machine is to be returned
+  kReplacing,        // steps are in flight
+};
+
+// A reason with what it is about: a team, a job, or a machine.
+struct Wait {
+  WaitReason reason = WaitReason::kNothing;
+  std::string subject;
+
+  explicit operator bool() const { return reason != WaitReason::kNothing; }
+  bool operator==(const Wait&) const = default;
+};
+
+// The reason in words.
+std::string Words(const Wait& wait);
+
+}  // namespace deckhall
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -78,6 +78,24 @@
   MarkChanged(mi);
 }
 
+void Fleet::NoteChange(const PlacedAttempt& slot) {
+  if (observer != nullptr && slot.service && slot.job != kNone) {
+    observer->ReplicaChanged(slot.job, slot.task);
+  }
+}
+
+void Fleet::NoteEarlyEnd(const PlacedAttempt& slot) {
+  if (observer == nullptr || slot.service || slot.job == kNone || !slot.seen) return;
+  if ((*book_)[slot.job].life == JobLife::kLive) observer->ArrayTaskStopped(slot.job);
+}
+
+PlacedAttempt* Fleet::AttemptOf(MachIdx mi, JobIdx j, uint32_t task, uint64_t attempt) {
+  for (PlacedAttempt& s : machines_[mi].attempts) {
+    if (s.job == j && s.task == task && s.attempt == attempt) return &s;
+  }
+  return nullptr;
+}
+
 PlacedAttempt& Fleet::AddAttempt(MachIdx mi, PlacedAttempt slot) {
   Machine& m = machines_[mi];
   if (slot.job != kNone) {
@@ -102,6 +120,7 @@
   if (slot.service) m.service_cores += slot.cores;
   if (slot.preemptible) m.lent_cores += slot.cores;
   m.attempts.push_back(std::move(slot));
+  NoteChange(m.attempts.back());
   Changed(mi);
   return m.attempts.back();
 }
@@ -110,6 +129,7 @@
   Machine& m = machines_[mi];
   if (slot->gone) return;
   slot->gone = true;
+  NoteChange(*slot);
   --m.busy;
   m.used_cores -= slot->cores;
   m.used_gpus -= slot->gpus;
@@ -276,6 +296,7 @@
 void Fleet::RecountRunning(PlacedAttempt* slot, bool now_running) {
   const bool before = slot->running_since >= 0;
   if (before == now_running || slot->job == kNone) return;
+  NoteChange(*slot);
   Job& job = (*book_)[slot->job];
   if (now_running) {
     slot->running_since = clock_->Now();
@@ -294,7 +315,10 @@
   if (slot->state != t.state) {
     spdlog::debug("{} on {} is in state {}", slot->name, m.name, static_cast<int>(t.state));
   }
-  if (slot->state != t.state) machines_[mi].stale = true;
+  if (slot->state != t.state) {
+    machines_[mi].stale = true;
+    NoteChange(*slot);
+  }
   slot->state = t.state;
   if (slot->job != kNone && t.state != TaskState::kFetching && t.why != ExitWhy::kNoRoom &&
       t.why != ExitWhy::kInUse && t.why != ExitWhy::kUnknown) {
@@ -422,7 +446,9 @@
   MarkChanged(mi);
   if (!slot->keep && grace_s >= slot->grace_s) return;
   if (!slot->keep) slot->stop_sent = -1e9;  // a shorter grace is told at once
+  if (slot->keep) NoteEarlyEnd(*slot);
   slot->keep = false;
+  NoteChange(*slot);
   slot->grace_s = grace_s;
 }
 
@@ -542,6 +568,7 @@
   for (size_t i = m.attempts.size(); i-- > 0;) {
     if (!m.attempts[i].gone) {
       ++lost;
+      if (m.attempts[i].keep) NoteEarlyEnd(m.attempts[i]);
       FreeTask(mi, m.attempts[i]);
     }
     EraseAttempt(mi, i);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -36,6 +36,18 @@
   double gpus = 0;
 };
 
+// Is told what may disturb users' work, as it happens.
+class DisruptionObserver {
+ public:
+  virtual ~DisruptionObserver() = default;
+  // The condition of a replica may have changed.
+  virtual void ReplicaChanged(JobIdx j, uint32_t task) = 0;
+  // A task of an array that has not ended was lost or told to stop.
+  virtual void ArrayTaskStopped(JobIdx j) = 0;
+  // A job was accepted, or is over.
+  virtual void JobChanged(JobIdx j) = 0;
+};
+
 class Fleet {
  public:
   Fleet(JobBook* book, const Clock* clock, uint64_t term, FleetOptions options);
@@ -65,6 +77,8 @@
   void Place(MachIdx m, JobIdx job, uint32_t task, uint64_t attempt, bool passed = false);
   // A number never used for an attempt before.
   uint64_t NewAttempt() { return next_attempt_++; }
+  // The attempt, if it is there and was not cleared; null otherwise.
+  PlacedAttempt* AttemptOf(MachIdx m, JobIdx j, uint32_t task, uint64_t attempt);
   // Wants the slot gone.
   void Unwant(MachIdx m, PlacedAttempt* slot, double grace_s);
   void UnwantJob(JobIdx job);
@@ -99,6 +113,8 @@
   std::function<void(MachIdx, const PlacedAttempt&)> on_exit;
   // A machine that an earlier leader used is accounted for.
   std::function<void()> on_accounted = [] {};
+  // May be null.
+  DisruptionObserver* observer = nullptr;
   // Something changed that the placer should look at.
   bool changed = false;
 
@@ -118,6 +134,9 @@
   void EraseAttempt(MachIdx m, size_t at);
   Command StopOf(PlacedAttempt* slot) const;
   void Changed(MachIdx m);
+  // Tells the observer that the attempt's condition changed, or that it was ended early.
+  void NoteChange(const PlacedAttempt& slot);
+  void NoteEarlyEnd(const PlacedAttempt& slot);
   void BeganAnew(MachIdx m, const Report& report);
 
   JobBook* book_;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -152,6 +152,8 @@
   bool return_sent = false;
   bool drain = false;           // takes no new tasks
   bool emptying = false;        // its replicas move elsewhere, then it goes back
+  bool cordoned = false;        // a drain names it: takes no new tasks
+  bool drained = false;         // a drain names it, and wants it returned once it is empty
   bool listed = false;          // the state service, the cloud or a rental named it
   bool suspect = false;         // said something that does not fit: ask it soon
   bool taking_back = false;     // unanswered_since is being withdrawn
--- a/src/leader/free_capacity.cc
+++ b/src/leader/free_capacity.cc
@@ -37,10 +37,10 @@
   const double now = clock_->Now();
   // Reports alone are no proof that it hears: a machine whose commands get lost
   // would be given tasks again and again.
-  return m.up && m.accounted && !m.gone && !m.drain && !m.cut && m.unanswered_since < 0 &&
-         !m.returning && m.notice_until < 0 && Fleet::Hears(m) && m.fails < 2 && m.row != kNoRow &&
-         !m.endpoint.empty() && store_->Durable(m.row) && now >= m.sick_until &&
-         now >= m.no_room_until && HeardLately(m);
+  return m.up && m.accounted && !m.gone && !m.drain && !m.cordoned && !m.cut &&
+         m.unanswered_since < 0 && !m.returning && m.notice_until < 0 && Fleet::Hears(m) &&
+         m.fails < 2 && m.row != kNoRow && !m.endpoint.empty() && store_->Durable(m.row) &&
+         now >= m.sick_until && now >= m.no_room_until && HeardLately(m);
 }
 
 bool FreeCapacity::HeardLately(const Machine& m) const {
@@ -66,6 +66,11 @@
   } else {
     n.total_cores = n.cores = n.gpus = n.memory_gb = 0;
   }
+  if (auto held = held_.find(mi); held != held_.end()) {
+    n.cores -= held->second.cores;
+    n.gpus -= held->second.gpus;
+    n.memory_gb -= held->second.memory_gb;
+  }
   n.coming.clear();
   for (const PlacedAttempt& s : m.attempts) {
     if (s.gone || !s.keep || s.job == kNone || (s.seen && s.state != TaskState::kFetching)) {
@@ -75,6 +80,35 @@
   }
 }
 
+void FreeCapacity::HoldRoom(MachIdx m, const Job& job) {
+  Amounts& held = held_[m];
+  held.cores += job.spec.cores;
+  held.gpus += job.spec.gpus;
+  held.memory_gb += job.spec.memory_gb;
+  (*fleet_)[m].stale = true;
+}
+
+void FreeCapacity::ReleaseRoom(MachIdx m, const Job& job) {
+  auto it = held_.find(m);
+  if (it == held_.end()) return;
+  it->second.cores -= job.spec.cores;
+  it->second.gpus -= job.spec.gpus;
+  it->second.memory_gb -= job.spec.memory_gb;
+  // Sums of decimal amounts end beside nothing.
+  if (it->second.memory_gb < kEps && it->second.cores < kEps) held_.erase(it);
+  (*fleet_)[m].stale = true;
+}
+
+const Node& FreeCapacity::Current(MachIdx mi) {
+  if (nodes_.size() <= mi) nodes_.resize(fleet_->size());
+  const Machine& m = (*fleet_)[mi];
+  if (m.stale) Remake(mi);
+  Node& n = nodes_[mi];
+  n.images = &m.images;  // machines may have moved in memory
+  n.usable = n.total_cores > 0 && Usable(m);
+  return n;
+}
+
 void FreeCapacity::Refresh() {
   if (teams_.size() < book_->teams.size()) {
     teams_.assign(book_->teams.size(), nullptr);
@@ -88,11 +122,8 @@
   double most = 0;
   double services = 0;
   for (MachIdx mi : fleet_->active()) {
-    Machine& m = (*fleet_)[mi];
-    Node& n = nodes_[mi];
-    if (m.stale) Remake(mi);
-    n.images = &m.images;  // machines may have moved in memory
-    n.usable = n.total_cores > 0 && Usable(m);
+    const Machine& m = (*fleet_)[mi];
+    const Node& n = Current(mi);
     if (m.up) capacity_ += n.total_cores;
     most = std::max(most, m.service_cores);
     services += m.service_cores;
--- a/src/leader/free_capacity.h
+++ b/src/leader/free_capacity.h
@@ -2,6 +2,7 @@
 // something changed, and what each team uses.
 #pragma once
 
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -54,6 +55,14 @@
   double unit_memory() const { return unit_memory_; }
   // Cores of all machines that are up.
   double capacity() const { return capacity_; }
+  // Room for one task of the job there is kept from everybody else.
+  void HoldRoom(MachIdx m, const Job& job);
+  void ReleaseRoom(MachIdx m, const Job& job);
+  // The machine's node, as it is now.
+  const Node& Current(MachIdx m);
+  // Cores that drains will need elsewhere: machines that have them are not given back as idle.
+  void SetRoomAhead(double cores) { room_ahead_ = cores; }
+  double room_ahead() const { return room_ahead_; }
   // Cores of services that arrive.
   void ServiceArrived(const Job& job);
   // Zones that are cut off from here, by index: nothing is rented there, and what
@@ -79,6 +88,8 @@
   std::vector<Use> use_;
   std::vector<const Team*> teams_;  // by team index
   std::vector<char> cut_;
+  std::unordered_map<MachIdx, Amounts> held_;
+  double room_ahead_ = 0;
   double free_ordinary_ = 0;
   double free_spot_ = 0;
   double lent_reserve_ = 0;
--- a/src/leader/gang_keeper.cc
+++ b/src/leader/gang_keeper.cc
@@ -115,6 +115,15 @@
   }
 }
 
+bool GangKeeper::Saves(const JobSpec& spec) const {
+  return spec.checkpoint_s > 0 && spec.save_s + kSaveMargin <= settings_->gang_peer_s;
+}
+
+void GangKeeper::StopWhole(JobIdx j, const char* why) {
+  const JobSpec& spec = (*book_)[j].spec;
+  Stop(j, Saves(spec) ? spec.save_s + kSaveMargin : 0, why);
+}
+
 void GangKeeper::MachineTaken(MachIdx mi, PlacedAttempt* slot, double seconds_left) {
   const JobIdx j = slot->job;
   const Job& job = (*book_)[j];
@@ -127,8 +136,7 @@
   const double sure = seconds_left * kSurePartOfNotice;
   const double ran = attempt.running_since < 0 ? 0 : clock_->Now() - attempt.running_since;
   if (ranking_->TaskSeconds(job) - ran < sure) return;
-  const bool saves = job.spec.checkpoint_s > 0 && job.spec.save_s + kSaveMargin < sure &&
-                     job.spec.save_s + kSaveMargin <= settings_->gang_peer_s;
+  const bool saves = Saves(job.spec) && job.spec.save_s + kSaveMargin < sure;
   // Without time to save the progress since the last checkpoint is lost either way: the
   // next attempt rather starts now.
   Stop(j, saves ? job.spec.save_s + kSaveMargin : 0, "the cloud takes one of its machines");
--- a/src/leader/gang_keeper.h
+++ b/src/leader/gang_keeper.h
@@ -21,6 +21,8 @@
   void TaskEnded(const PlacedAttempt& slot);
   // Looks at all gangs that are on machines.
   void Tick();
+  // Stops all of the gang, with time to save if all of its tasks can.
+  void StopWhole(JobIdx j, const char* why);
   // The cloud takes a machine away that holds this task of a gang.
   void MachineTaken(MachIdx mi, PlacedAttempt* slot, double seconds_left);
 
@@ -38,6 +40,8 @@
   void ForEach(JobIdx j, const Visit& visit);
   Attempt Look(JobIdx j);
   void Check(JobIdx j);
+  // Whether all of it can save before its tasks notice that others are gone.
+  bool Saves(const JobSpec& spec) const;
   // A lost task is not replaced any more.
   bool TooLateToComplete(const Job& job) const;
   // Stops all of it that is still wanted.
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -75,9 +75,13 @@
       free_capacity_(&book_, &fleet_, &rentals_, &store_, ports.clock, settings, tuning),
       ranking_(&book_, &free_capacity_, ports.clock, tuning),
       gangs_(&book_, &fleet_, &ranking_, ports.clock, settings),
-      placer_(&book_, &fleet_, &free_capacity_, &ranking_, &rentals_, ports.clock, tuning),
-      planner_(&book_, &fleet_, &free_capacity_, &ranking_, &rentals_, ports.clock, settings,
-               tuning),
+      ledger_(&book_, &fleet_, ports.clock, OverdueSeconds(*settings)),
+      drainer_(
+          {&book_, &fleet_, &free_capacity_, &rentals_, &gangs_, &store_, &ledger_, ports.clock}),
+      placer_(&book_, &fleet_, &free_capacity_, &ranking_, &rentals_, &ledger_, ports.clock,
+              tuning),
+      planner_(&book_, &fleet_, &free_capacity_, &ranking_, &rentals_, &ledger_, &drainer_,
+               ports.clock, settings, tuning),
       direct_(MessagesPerSecond(*settings, *tuning) * tuning->direct_share,
               std::max(20.0, MessagesPerSecond(*settings, *tuning) * tuning->direct_share / 4)),
       probes_(MessagesPerSecond(*settings, *tuning) * tuning->probe_share,
@@ -90,6 +94,9 @@
   };
   fleet_.on_exit = [this](MachIdx m, const PlacedAttempt& s) { TaskEnded(m, s); };
   fleet_.on_accounted = [this] { release_ = true; };
+  fleet_.observer = &ledger_;
+  book_.on_life = [this](JobIdx j) { ledger_.JobChanged(j); };
+  placer_.on_refreshed = [this] { drainer_.PlaceReplacements(); };
 }
 
 void Leader::Begin() {
@@ -117,12 +124,15 @@
 
 void Leader::Loaded(const std::vector<std::pair<RowId, std::string>>& rows) {
   for (const auto& [id, text] : rows) {
-    if (rentals_.LoadRow(id, text) || hints_.LoadRow(id, text)) continue;
+    if (rentals_.LoadRow(id, text) || hints_.LoadRow(id, text) || drainer_.LoadRow(id, text)) {
+      continue;
+    }
     if (!book_.LoadRow(id, text)) spdlog::error("a stored row is not understood: {}", text);
   }
   const double now = ports_.clock->Now();
   book_.FinishLoad(now, ports_.clock->Wall());
   hints_.FinishLoad();
+  drainer_.FinishLoad();
   store_.SplitLargePages();
   for (JobIdx j : book_.live()) {
     Job& job = book_[j];
@@ -130,6 +140,7 @@
   }
   for (MachIdx m : fleet_.active()) fleet_.MarkChanged(m);
   loaded_ = release_ = true;
+  Use(policy_, policy_confirmed_);
   next_save_ = now + tuning_->save_s;
   next_hints_ = now + kHintsEvery * tuning_->save_s;
   rentals_.Start();
@@ -138,6 +149,15 @@
   Tick();
 }
 
+void Leader::Use(std::shared_ptr<const DisruptionPolicy> policy, bool confirmed) {
+  policy_ = std::move(policy);
+  policy_confirmed_ = confirmed;
+  // Drains go on from their rows, and replicas are counted from what is stored.
+  if (!loaded_) return;
+  ledger_.Use(policy_, confirmed);
+  drainer_.Use(policy_, confirmed);
+}
+
 double Leader::GraceUntil() const {
   // Counted from when the last good renewal was sent, or from when all others
   // last said that they know of no later term: in an outage of the state service
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cloud/cloud_port.h"
+#include "drain/drainer.h"
 #include "fleet/cache_hints.h"
 #include "fleet/worker_port.h"
 #include "leader/gang_keeper.h"
@@ -53,6 +54,9 @@
   // The term is over: answers what waits and does nothing any more. Kept until
   // the last of its requests is answered.
   void Retire();
+  // The disruption policy in force; null without one. `confirmed`: the state service named it
+  // after this term began.
+  void Use(std::shared_ptr<const DisruptionPolicy> policy, bool confirmed);
   bool loaded() const { return loaded_; }
   uint64_t term() const { return term_; }
 
@@ -60,6 +64,8 @@
 
   JobBook& book() { return book_; }
   Fleet& fleet() { return fleet_; }
+  const Drainer& drainer() const { return drainer_; }
+  const DisruptionLedger& ledger() const { return ledger_; }
   // For how long most machines have answered nothing, though their reports come by
   // other nodes: the fault is then on this node's way to them. 0: they do.
   double UnreachedFor() const;
@@ -131,10 +137,14 @@
   FreeCapacity free_capacity_;
   Ranking ranking_;
   GangKeeper gangs_;
+  DisruptionLedger ledger_;
+  Drainer drainer_;
   Placer placer_;
   Planner planner_;
   TokenBucket direct_;  // commands sent straight to workers
   TokenBucket probes_;
+  std::shared_ptr<const DisruptionPolicy> policy_;
+  bool policy_confirmed_ = false;
   bool loaded_ = false;
   bool loading_ = false;
   bool retired_ = false;
@@ -172,6 +182,9 @@
 // How long a leader goes on answering reports after it last had its lease.
 double GracePeriodSeconds(const Settings& settings);
 
+// Seconds after which a machine's report is overdue.
+inline double OverdueSeconds(const Settings& settings) { return settings.report_s * 1.3 + 0.5; }
+
 // Questions to workers that the processor share allows for in a second.
 double MessagesPerSecond(const Settings& settings, const Tuning& tuning);
 
--- a/src/leader/leader_cuts.cc
+++ b/src/leader/leader_cuts.cc
@@ -68,7 +68,7 @@
 void Leader::FindCuts() {
   const double now = ports_.clock->Now();
   const double window = settings_->report_s * kCutWindow;
-  const double overdue = settings_->report_s * 1.3 + 0.5;
+  const double overdue = OverdueSeconds(*settings_);
   struct Count {
     size_t known = 0;
     size_t heard = 0;
--- a/src/leader/leader_machines.cc
+++ b/src/leader/leader_machines.cc
@@ -366,7 +366,7 @@
   // What is wanted there and could not be told, or must be told again.
   if (now >= m.do_after && (!m.accounted || fleet_.HasCommands(mi, true))) fleet_.MarkChanged(mi);
   const double silent = now - std::max(m.heard_at, began_);
-  const double overdue = settings_->report_s * 1.3 + 0.5;
+  const double overdue = OverdueSeconds(*settings_);
   const double often = m.busy > 0 ? probe_every_ : std::max(tuning_->silent_s, overdue);
   const bool urgent = m.suspect || m.failing_since >= 0 || silent > overdue;
   // Reports alone don't show that it hears. Asked in time, it can be given up before
@@ -429,6 +429,7 @@
     if (fleet_[mi].notice_until >= 0) Notice(mi);
   }
   gangs_.Tick();
+  drainer_.Tick();
   ForgetFailures();
   CollectEndedJobs();
 }
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -13,7 +13,8 @@
 }  // namespace
 
 Placer::Placer(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, Ranking* ranking,
-               Rentals* rentals, const Clock* clock, const Tuning* tuning)
+               Rentals* rentals, const DisruptionLedger* ledger, const Clock* clock,
+               const Tuning* tuning)
     : book_(book),
       fleet_(fleet),
       free_capacity_(free_capacity),
@@ -21,7 +22,7 @@
       rentals_(rentals),
       clock_(clock),
       tuning_(tuning),
-      preemption_(book, fleet, free_capacity, clock),
+      preemption_(book, fleet, free_capacity, ledger, clock),
       gangs_(book, fleet, free_capacity, &preemption_, clock, tuning) {}
 
 // The paper's delay scheduling: while jobs compete, one that would first have to
@@ -154,6 +155,7 @@
 void Placer::Pass() {
   const double now = clock_->Now();
   free_capacity_->Refresh();
+  on_refreshed();
   ranking_->Refresh();
   failed_needs_.clear();
   gangs_.BeginPass();
--- a/src/leader/placer.h
+++ b/src/leader/placer.h
@@ -1,6 +1,7 @@
 // Decides what runs where.
 #pragma once
 
+#include <functional>
 #include <vector>
 
 #include "leader/free_capacity.h"
@@ -13,10 +14,13 @@
 class Placer {
  public:
   Placer(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, Ranking* ranking,
-         Rentals* rentals, const Clock* clock, const Tuning* tuning);
+         Rentals* rentals, const DisruptionLedger* ledger, const Clock* clock,
+         const Tuning* tuning);
 
   // Gives free room to waiting tasks.
   void Pass();
+  // Called in each pass with a fresh picture of free room, before anything is placed.
+  std::function<void()> on_refreshed = [] {};
 
  private:
   // A need for which this pass found no place: neither will it for a larger one.
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -37,13 +37,15 @@
 }  // namespace
 
 Planner::Planner(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, const Ranking* ranking,
-                 Rentals* rentals, const Clock* clock, const Settings* settings,
-                 const Tuning* tuning)
+                 Rentals* rentals, const DisruptionLedger* ledger, const Drainer* drainer,
+                 const Clock* clock, const Settings* settings, const Tuning* tuning)
     : book_(book),
       fleet_(fleet),
       free_capacity_(free_capacity),
       ranking_(ranking),
       rentals_(rentals),
+      ledger_(ledger),
+      drainer_(drainer),
       clock_(clock),
       settings_(settings),
       tuning_(tuning) {}
@@ -76,7 +78,8 @@
       o.boot_s = type->boot_s;
     }
     // What is rented behind a cut can't be used before the cut ends.
-    o.refused = type == nullptr || now < pool.refused_until || free_capacity_->Cut(pool.zone);
+    o.refused = type == nullptr || now < pool.refused_until || free_capacity_->Cut(pool.zone) ||
+                drainer_->Closes(book_->types[pool.type], book_->zones[pool.zone]);
     const int pending = rentals_->Pending(static_cast<uint32_t>(p));
     o.existing = pending;
     // Machines asked for count as if they were booting.
@@ -104,7 +107,7 @@
       if (o.type == m.type && o.zone == m.zone && o.spot == m.spot) ++o.existing;
     }
     const Node& room = free_capacity_->nodes()[mi];
-    if (room.cores <= kEps) continue;
+    if (room.cores <= kEps || m.cordoned) continue;
     bool usable = room.usable;
     if (m.zone != kNone && free_capacity_->Cut(m.zone)) continue;
     if (!m.up) {
@@ -157,6 +160,8 @@
     const uint32_t n = within_limit(job, static_cast<uint32_t>(job.waiting.size()));
     if (n > 0) AddWant(&wants, 0, need_of(job), n);
   }
+  // Replicas that drains move next need room before they are stopped.
+  for (JobIdx j : drainer_->room_wanted()) AddWant(&wants, 0, need_of((*book_)[j]), 1);
   double lent = 0;  // kept room that arrays may use meanwhile
   const double headroom = free_capacity_->headroom();
   if (free_capacity_->unit_cores() > 0) {
@@ -245,7 +250,7 @@
   std::vector<std::pair<double, MachIdx>> thin;
   for (MachIdx mi : fleet_->active()) {
     const Machine& m = (*fleet_)[mi];
-    if (m.returning) continue;
+    if (m.returning || m.cordoned) continue;
     if (m.emptying) {
       emptying.push_back(mi);
       continue;
@@ -292,6 +297,7 @@
     const Job& job = (*book_)[s.job];
     if (!job.spec.service) continue;               // arrays end by themselves
     if (job.running < job.tasks.size()) continue;  // one replica of a job at a time
+    if (ledger_->AllowsReplica(s.job)) continue;
     std::vector<uint32_t> on = job.on;
     on.erase(std::find(on.begin(), on.end(), mi));
     std::vector<char> zones;
@@ -329,6 +335,7 @@
                     : rentals_->TypeOf(m.type) == nullptr ? "its type is not offered"
                     : m.sick_count >= 2                   ? "fails the tasks it starts"
                     : m.emptying                          ? "emptied"
+                    : m.drained && m.attempts.empty()     ? "drained"
                                                           : nullptr;
   if (why != nullptr) rentals_->Return(mi, why);
   return why != nullptr;
@@ -355,7 +362,8 @@
     if (m.spot) {
       if (idle > tuning_->idle_spot_boots * boot && waiting <= 0) rentals_->Return(mi, "idle");
     } else if (idle > tuning_->idle_ordinary_boots * boot && !services_wait &&
-               free_ordinary - type->cores >= free_capacity_->headroom()) {
+               free_ordinary - type->cores >=
+                   free_capacity_->headroom() + free_capacity_->room_ahead()) {
       free_ordinary -= type->cores;
       rentals_->Return(mi, "idle");
     }
--- a/src/leader/planner.h
+++ b/src/leader/planner.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "drain/drainer.h"
 #include "leader/free_capacity.h"
 #include "leader/ranking.h"
 #include "sched/capacity.h"
@@ -12,7 +13,8 @@
 class Planner {
  public:
   Planner(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, const Ranking* ranking,
-          Rentals* rentals, const Clock* clock, const Settings* settings, const Tuning* tuning);
+          Rentals* rentals, const DisruptionLedger* ledger, const Drainer* drainer,
+          const Clock* clock, const Settings* settings, const Tuning* tuning);
 
   // Rents and returns machines.
   void Plan();
@@ -31,6 +33,8 @@
   FreeCapacity* free_capacity_;
   const Ranking* ranking_;
   Rentals* rentals_;
+  const DisruptionLedger* ledger_;
+  const Drainer* drainer_;
   const Clock* clock_;
   const Settings* settings_;
   const Tuning* tuning_;
--- a/src/leader/preemption.cc
+++ b/src/leader/preemption.cc
@@ -115,6 +115,17 @@
   claim.memory_gb += need.memory_gb;
 }
 
+bool Preemption::WithinBudgets(const Job& job, const std::vector<Choice>& choices) const {
+  if (job.guaranteed || !ledger_->active()) return true;
+  std::vector<JobIdx> tasks;
+  for (const Choice& choice : choices) {
+    for (size_t i : choice.attempts) {
+      tasks.push_back((*fleet_)[choice.machine].attempts[i].job);
+    }
+  }
+  return !ledger_->AllowsStops(tasks);
+}
+
 void Preemption::Stop(const Job& job, const Choice& choice) {
   Machine& machine = (*fleet_)[choice.machine];
   for (size_t i : choice.attempts) {
@@ -163,6 +174,7 @@
                    [](const Choice& a, const Choice& b) { return a.loss < b.loss; });
   for (const Choice& choice : choices) {
     if (wanted == 0) break;
+    if (!WithinBudgets(job, {choice})) continue;
     --wanted;
     Claim(choice.machine, need);
     Stop(job, choice);
@@ -212,6 +224,7 @@
     choices.resize(count);
     if (choices.back().loss > request.most_loss) continue;
     double loss = 0;
+    if (!WithinBudgets(job, choices)) continue;
     for (const Choice& choice : choices) loss += choice.loss;
     if (best.empty() || loss < least) {
       best = std::move(choices);
--- a/src/leader/preemption.h
+++ b/src/leader/preemption.h
@@ -6,14 +6,16 @@
 #include <unordered_map>
 #include <vector>
 
+#include "drain/disruption_ledger.h"
 #include "leader/free_capacity.h"
 
 namespace deckhall {
 
 class Preemption {
  public:
-  Preemption(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, const Clock* clock)
-      : book_(book), fleet_(fleet), free_capacity_(free_capacity), clock_(clock) {}
+  Preemption(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity,
+             const DisruptionLedger* ledger, const Clock* clock)
+      : book_(book), fleet_(fleet), free_capacity_(free_capacity), ledger_(ledger), clock_(clock) {}
 
   // A pass begins: nothing is claimed yet. First services are served, then arrays.
   void BeginServices();
@@ -37,11 +39,6 @@
                                     const std::vector<std::vector<char>>& zone_sets);
 
  private:
-  struct Amounts {
-    double cores = 0;
-    double gpus = 0;
-    double memory_gb = 0;
-  };
   // A place for one task, and what has to be stopped for it.
   struct Choice {
     double loss = 0;
@@ -60,11 +57,15 @@
   bool HasImage(const Job& job, const Machine& m) const;
   void AddChoices(const Job& job, const Need& need, MachIdx mi, std::vector<Choice>* out) const;
   void Claim(MachIdx mi, const Need& need);
+  // Whether the budgets allow what has to be stopped for these places. A guarantee is kept
+  // whatever the budgets say.
+  bool WithinBudgets(const Job& job, const std::vector<Choice>& choices) const;
   void Stop(const Job& job, const Choice& choice);
 
   JobBook* book_;
   Fleet* fleet_;
   FreeCapacity* free_capacity_;
+  const DisruptionLedger* ledger_;
   const Clock* clock_;
   std::unordered_map<MachIdx, Amounts> claims_;  // room on its way that is spoken for
   int asked_ = 0;                                // jobs this pass looked for tasks to stop for
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -22,6 +22,13 @@
   std::vector<uint32_t> coming;                   // being fetched
 };
 
+// Amounts of what a machine has.
+struct Amounts {
+  double cores = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+};
+
 struct Need {
   double cores = 0;
   double gpus = 0;
--- a/src/state/job_book.cc
+++ b/src/state/job_book.cc
@@ -169,6 +169,7 @@
   live_.push_back(j);
   live_tasks_ += spec.tasks;
   Save(j, WriteUrgency::kNow);
+  on_life(j);
   return j;
 }
 
@@ -349,6 +350,7 @@
   live_tasks_ -= job.tasks.size();
   ended_jobs_.push_back(j);
   Save(j, life == JobLife::kCancelled ? WriteUrgency::kNow : WriteUrgency::kSoon);
+  on_life(j);
 }
 
 void JobBook::DropSpec(JobIdx j) {
--- a/src/state/job_book.h
+++ b/src/state/job_book.h
@@ -1,6 +1,7 @@
 // All jobs ever accepted, and their durable rows.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,6 +52,8 @@
   void DropSpec(JobIdx j);
 
   Names teams, images, classes, zones, types;
+  // A job was accepted, or is over.
+  std::function<void(JobIdx)> on_life = [](JobIdx) {};
 
  private:
   // The task's phase and the counts; its row is still to be written.
--- a/src/state/row_store.cc
+++ b/src/state/row_store.cc
@@ -11,7 +11,6 @@
 namespace deckhall {
 namespace {
 
-constexpr std::string_view kPrefix = "deckhall/pages/";
 constexpr size_t kTxnBytes = 56 << 10;
 // Of a transaction, and of each page in it, what is not value.
 constexpr size_t kTxnRest = 200;
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "net/clock.h"
@@ -42,6 +43,9 @@
 
 class RowStore {
  public:
+  // Of the keys of its pages.
+  static constexpr std::string_view kPrefix = "deckhall/pages/";
+
   RowStore(StatePort* state, const Clock* clock, StoreLimits limits, std::string leader_key,
            uint64_t term);
 
