Tests of drains, budgets, the disruption file and its replication under one leader

Need: each hard case of drains must be a test. Found by them and mended: a replacement that hung was tried on the same machine again, since a fetch that was stopped is taken for a cached image; machines that drains would need were given back to save.

--- a/src/drain/disruption_ledger.cc
+++ b/src/drain/disruption_ledger.cc
@@ -293,12 +293,10 @@
 
 uint64_t DisruptionLedger::AvailableOf(JobIdx j) const {
   auto it = jobs_.find(j);
-  if (it == jobs_.end()) return 0;
-  uint64_t count = 0;
-  for (uint32_t t = 0; t < it->second.count; ++t) {
-    count += available_.contains(it->second.first + t) ? 1 : 0;
-  }
-  return count;
+  if (it == jobs_.end() || it->second.count == 0) return 0;
+  const uint32_t first = it->second.first;
+  const uint64_t before = first == 0 ? 0 : available_.rank(first - 1);
+  return available_.rank(first + it->second.count - 1) - before;
 }
 
 uint64_t DisruptionLedger::DownOf(const std::string& team) const {
--- a/src/drain/drainer.cc
+++ b/src/drain/drainer.cc
@@ -103,6 +103,11 @@
   return fleet_->AttemptOf(step.from, step.job, step.task, step.attempt);
 }
 
+void Drainer::HoldPlace(DrainStep* step, MachIdx place) {
+  step->place = place;
+  free_capacity_->HoldRoom(place, (*book_)[step->job]);
+}
+
 void Drainer::ReleasePlace(DrainStep* step) {
   if (step->place == kNone) return;
   free_capacity_->ReleaseRoom(step->place, (*book_)[step->job]);
@@ -245,6 +250,8 @@
   }
   fleet_->Unwant(task.machine, slot, 0);
   fleet_->changed = true;
+  const PlaceFinder::Result other = places_.Find(step->job, task.machine, true);
+  if (!other.wait) HoldPlace(step, other.machine);
   return true;
 }
 
@@ -253,9 +260,15 @@
     if (step.phase != StepPhase::kReplacing || step.place == kNone) continue;
     const MachIdx place = step.place;
     const Job& job = (*book_)[step.job];
-    const TaskPhase phase = job.tasks[step.task].phase;
+    const Task& task = job.tasks[step.task];
+    if (task.phase == TaskPhase::kPlaced) {
+      const PlacedAttempt* slot =
+          fleet_->AttemptOf(task.machine, step.job, step.task, task.attempt);
+      // The attempt before is still on its way out.
+      if (slot != nullptr && !slot->keep) continue;
+    }
     ReleasePlace(&step);
-    if (phase != TaskPhase::kWaiting || job.life != JobLife::kLive) continue;
+    if (task.phase != TaskPhase::kWaiting || job.life != JobLife::kLive) continue;
     if (clock_->Now() < job.backoff_until || !free_capacity_->TeamRoom(job)) continue;
     if (!places_.StillFits(step.job, place)) continue;
     fleet_->Place(place, step.job, step.task, fleet_->NewAttempt());
@@ -402,12 +415,11 @@
     if (room_wanted_.size() < kRoomAhead) room_wanted_.push_back(slot.job);
     return false;
   }
-  image_wait_since_.erase(slot.job);
-  const Job& job = (*book_)[slot.job];
-  free_capacity_->HoldRoom(place.machine, job);
+  if (place.has_image) image_wait_since_.erase(slot.job);
   ledger_->Hold(slot.job, slot.task);
-  step_book_.Begin(drain->order->name, slot.job, slot.task, mi, slot.attempt, place.machine);
-  drain->wait = {WaitReason::kReplacing, job.id};
+  HoldPlace(&step_book_.Begin(drain->order->name, slot.job, slot.task, mi, slot.attempt),
+            place.machine);
+  drain->wait = {WaitReason::kReplacing, (*book_)[slot.job].id};
   return true;
 }
 
--- a/src/drain/drainer.h
+++ b/src/drain/drainer.h
@@ -88,6 +88,7 @@
   bool StopReplica(DrainStep* step);
   // The replacement is late: another machine is tried. False: the step is given up.
   bool TryElsewhere(DrainStep* step);
+  void HoldPlace(DrainStep* step, MachIdx place);
   void ReleasePlace(DrainStep* step);
   double BoundOf(const DrainStep& step) const;
 
--- a/src/drain/place_finder.cc
+++ b/src/drain/place_finder.cc
@@ -43,20 +43,25 @@
   std::vector<uint32_t> on = job.on;
   if (auto it = std::find(on.begin(), on.end(), from); it != on.end()) on.erase(it);
   std::vector<char> zones;
-  if (!free_capacity_->ZoneRoom(job, on, &zones)) return {kNone, {WaitReason::kTakingOver, job.id}};
+  if (!free_capacity_->ZoneRoom(job, on, &zones))
+    return {kNone, false, {WaitReason::kTakingOver, job.id}};
   Need need = free_capacity_->NeedOf(job, zones, on);
   need.patient = false;
-  const std::vector<uint32_t> some = Some();
+  std::vector<uint32_t> some = Some();
+  // Where it failed before, or did not start, it is not sent on purpose.
+  std::erase_if(some, [&job](uint32_t m) {
+    return std::find(job.failed_on.begin(), job.failed_on.end(), m) != job.failed_on.end();
+  });
   need.here_only = true;
   int at = Picker(&need, &free_capacity_->nodes(), some).Next(true);
-  if (at >= 0) return {static_cast<MachIdx>(at), {}};
+  if (at >= 0) return {static_cast<MachIdx>(at), true, {}};
   need.here_only = false;
   at = Picker(&need, &free_capacity_->nodes(), some).Next(true);
-  if (at >= 0 && fetch) return {static_cast<MachIdx>(at), {}};
-  if (at >= 0) return {kNone, {WaitReason::kNoImage, job.id}};
+  if (at >= 0 && fetch) return {static_cast<MachIdx>(at), false, {}};
+  if (at >= 0) return {kNone, false, {WaitReason::kNoImage, job.id}};
   const bool no_zone = need.zones != nullptr && std::none_of(zones.begin(), zones.end(),
                                                              [](char open) { return open != 0; });
-  return {kNone, {no_zone ? WaitReason::kZoneRule : WaitReason::kNoPlace, job.id}};
+  return {kNone, false, {no_zone ? WaitReason::kZoneRule : WaitReason::kNoPlace, job.id}};
 }
 
 bool PlaceFinder::StillFits(JobIdx j, MachIdx place) {
--- a/src/drain/place_finder.h
+++ b/src/drain/place_finder.h
@@ -17,6 +17,7 @@
 
   struct Result {
     MachIdx machine = kNone;
+    bool has_image = false;
     Wait wait;  // why there is none
   };
   // A place for one replica of the job that leaves `from`. `fetch`: where its image has to be
--- a/src/drain/step_book.cc
+++ b/src/drain/step_book.cc
@@ -36,7 +36,7 @@
 }
 
 DrainStep& StepBook::Begin(const std::string& drain, JobIdx job, uint32_t task, MachIdx from,
-                           uint64_t attempt, MachIdx place) {
+                           uint64_t attempt) {
   StepRecord record;
   record.drain = drain;
   record.job = (*book_)[job].id;
@@ -51,7 +51,6 @@
   step.task = task;
   step.from = from;
   step.attempt = attempt;
-  step.place = place;
   step.phase_since = clock_->Now();
   step.row = store_->Add(text, text.size(), WriteUrgency::kNow);
   steps_.push_back(std::move(step));
--- a/src/drain/step_book.h
+++ b/src/drain/step_book.h
@@ -46,7 +46,7 @@
 
   // Begins a step; its row goes out at once.
   DrainStep& Begin(const std::string& drain, JobIdx job, uint32_t task, MachIdx from,
-                   uint64_t attempt, MachIdx place);
+                   uint64_t attempt);
   bool Durable(const DrainStep& step) const { return store_->Durable(step.row); }
   void SetPhase(DrainStep* step, StepPhase phase);
   // Forgets the steps for which `over` is true.
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -280,7 +280,9 @@
     if (emptying.size() >= most) return;
     Machine& m = (*fleet_)[mi];
     const double others = free - std::max(0.0, free_capacity_->nodes()[mi].cores);
-    if (others < used + free_capacity_->headroom() * (1 + tuning_->consolidate_spare)) return;
+    const double kept = free_capacity_->headroom() * (1 + tuning_->consolidate_spare) +
+                        free_capacity_->room_ahead();
+    if (others < used + kept) return;
     free = others - used;
     m.emptying = m.drain = true;
     m.emptying_since = now;
--- /dev/null
+++ b/tests/drain_policy_test.cc
@@ -0,0 +1,308 @@
+// The disruption file: what it says, and what is refused.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "app/drains_command.h"
+#include "app/policy_file.h"
+#include "drain/policy_replicator.h"
+#include "fakes.h"
+
+namespace deckhall {
+namespace {
+
+constexpr const char* kGood = R"((disruption
+  (revision "7")
+  (budgets
+    (default (down "2"))
+    (team "blue" (down "10%" at-least-one) (stopped "5"))
+    (class "blue" "live" (down "25%")))
+  (drains
+    (drain "west" (zone "west") (deadline-s "600"))
+    (drain "rack" (network "10.1.4.0/24") (type "box"))
+    (drain "two" (machine "m-1") (machine "m-2") (paused)))
+  (steps (settle-s "5") (replace-within-s "60") (image-wait-s "7") (window-s "100")
+    (at-once "9") (replacement-tries "2"))))";
+
+Settings TwoTeams() {
+  Settings settings;
+  settings.zones = {"east", "west"};
+  settings.teams = {{"blue", 8, 16, 0, 0}, {"red", 0, 0, 0, 0}};
+  return settings;
+}
+
+std::string Refused(const std::string& sections) {
+  DisruptionPolicy policy;
+  std::string bad = ReadPolicy("(disruption (revision \"1\") " + sections + ")", &policy);
+  return bad.empty() ? CheckPolicy(policy, TwoTeams()) : bad;
+}
+
+TEST(DrainPolicy, IsReadWhole) {
+  DisruptionPolicy p;
+  ASSERT_EQ(ReadPolicy(kGood, &p), "");
+  EXPECT_EQ(CheckPolicy(p, TwoTeams()), "");
+  EXPECT_EQ(p.revision, 7U);
+  EXPECT_EQ(p.default_down.Of(100), 2U);
+  ASSERT_EQ(p.budgets.size(), 2U);
+  EXPECT_EQ(p.budgets[0].stopped, 5U);
+  EXPECT_EQ(p.budgets[0].down->Of(9), 1U);
+  EXPECT_EQ(p.budgets[0].down->Of(39), 3U);
+  EXPECT_EQ(p.budgets[1].job_class, "live");
+  EXPECT_EQ(p.budgets[1].down->Of(3), 0U);
+  ASSERT_EQ(p.drains.size(), 3U);
+  EXPECT_EQ(p.drains[0].deadline_s, 600);
+  EXPECT_TRUE(p.drains[2].paused);
+  EXPECT_EQ(p.times.settle_s, 5);
+  EXPECT_EQ(p.times.steps_at_once, 9U);
+  EXPECT_EQ(p.times.replacement_tries, 2U);
+}
+
+TEST(DrainPolicy, ASharesOfAWholeNumberIsNotRoundedBelowIt) {
+  DownLimit limit;
+  limit.unit = DownLimit::Unit::kShare;
+  limit.amount = 0.29;
+  EXPECT_EQ(limit.Of(100), 29U);
+  EXPECT_EQ(limit.Of(3), 0U);
+}
+
+TEST(DrainPolicy, SelectsByNameTypeZoneAndNetworkTogether) {
+  DisruptionPolicy p;
+  ASSERT_EQ(ReadPolicy(kGood, &p), "");
+  const MachineSelector& zone = p.Find("west")->machines;
+  EXPECT_TRUE(zone.Matches("m-5", "box", "west", ""));
+  EXPECT_FALSE(zone.Matches("m-5", "box", "east", ""));
+  EXPECT_TRUE(zone.MayMatch("any", "west"));
+  const MachineSelector& rack = p.Find("rack")->machines;
+  EXPECT_TRUE(rack.Matches("m-5", "box", "west", "10.1.4.200:9000"));
+  EXPECT_FALSE(rack.Matches("m-5", "box", "west", "10.1.5.1:9000"));
+  EXPECT_FALSE(rack.Matches("m-5", "other", "west", "10.1.4.200:9000"));
+  EXPECT_FALSE(rack.Matches("m-5", "box", "west", "nonsense"));
+  EXPECT_FALSE(rack.MayMatch("box", "west"));
+  const MachineSelector& two = p.Find("two")->machines;
+  EXPECT_TRUE(two.Matches("m-2", "", "", ""));
+  EXPECT_FALSE(two.Matches("m-3", "", "", ""));
+}
+
+TEST(DrainPolicy, BadInputIsRefusedInOneLineThatNamesIt) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"(budgets (team \"green\" (down \"1\")))", "no such team: green"},
+      {"(drains (drain \"a\" (zone \"mars\")))", "no such zone: mars"},
+      {"(drains (drain \"a\" (network \"10.1.4.0/33\")))", "not an IPv4 network"},
+      {"(drains (drain \"a\" (network \"rack\")))", "not an IPv4 network"},
+      {"(budgets (team \"blue\" (down \"-1\")))", "neither a number"},
+      {"(budgets (team \"blue\" (down \"101%\")))", "neither a number"},
+      {"(budgets (team \"blue\" (down \"1e9\")))", "neither a number"},
+      {"(budgets (team \"blue\" (down \"1.5\")))", "whole number"},
+      {"(budgets (team \"blue\" (down \"many\")))", "neither a number"},
+      {"(budgets (team \"blue\" (down \"1\" at-least-one)))", "only a share"},
+      {"(budgets (team \"blue\" (stopped \"-2\")))", "not a number from 0"},
+      {"(budgets (team \"blue\" (up \"1\")))", "unknown entry 'up'"},
+      {"(budgets (team \"blue\") (team \"blue\"))", "given twice"},
+      {"(budgets (class \"blue\"))", "a name is missing"},
+      {"(drains (drain \"a\"))", "names no machine"},
+      {"(drains (drain \"a\" (everything) (zone \"east\")))", "no other selection"},
+      {"(drains (drain \"a\" (zone \"east\")) (drain \"a\" (zone \"west\")))", "given twice"},
+      {"(drains (drain \"a\" (zone \"east\") (deadline-s \"soon\")))", "not a number"},
+      {"(drains (drain \"a\" (zone)))", "a value is missing"},
+      {"(drains (drain))", "a name of"},
+      {"(drains stop)", "not a list"},
+      {"(steps (settle-s \"-1\"))", "not a number from 0"},
+      {"(steps (at-once \"0\"))", "not a number from 1"},
+      {"(pods)", "unknown entry 'pods'"},
+  };
+  for (const auto& [sections, reason] : cases) {
+    const std::string bad = Refused(sections);
+    EXPECT_NE(bad.find(reason), std::string::npos) << sections << ": '" << bad << "'";
+    EXPECT_EQ(bad.find('\n'), std::string::npos) << sections;
+  }
+  DisruptionPolicy p;
+  EXPECT_NE(ReadPolicy("(disruption (budgets))", &p).find("revision"), std::string::npos);
+  EXPECT_NE(ReadPolicy("(disruption (revision \"1\"", &p).find("not an S-expression"),
+            std::string::npos);
+  EXPECT_NE(ReadPolicy("(deckhall)", &p), "");
+  EXPECT_NE(ReadPolicy("", &p), "");
+}
+
+class PolicyFileTest : public ::testing::Test {
+ protected:
+  void SetUp() override { path_ = ::testing::TempDir() + "disruption.sexp"; }
+  void Write(const std::string& text) {
+    std::ofstream(path_) << text;
+    // Files written within one step of the file system's clock would look the same.
+    std::filesystem::last_write_time(
+        path_, std::filesystem::file_time_type::clock::now() + std::chrono::seconds(++writes_));
+  }
+  std::string path_;
+  int writes_ = 0;
+  Settings settings_ = TwoTeams();
+};
+
+TEST_F(PolicyFileTest, IsReadAgainWhenItChangesAndKeptWhenItIsBad) {
+  Write(kGood);
+  PolicyFile file(path_, &settings_);
+  auto first = file.ReadIfChanged();
+  ASSERT_NE(first, nullptr);
+  EXPECT_EQ(file.ReadIfChanged(), nullptr);
+  Write("(disruption (revision \"8\") (drains (drain \"a\" (zone \"mars\"))))");
+  EXPECT_EQ(file.ReadIfChanged(), nullptr);
+  Write("(disruption (revision \"9\"))");
+  auto last = file.ReadIfChanged();
+  ASSERT_NE(last, nullptr);
+  EXPECT_EQ(last->revision, 9U);
+  std::filesystem::remove(path_);
+  EXPECT_EQ(file.ReadIfChanged(), nullptr);
+}
+
+TEST_F(PolicyFileTest, OneThatNoValueHoldsIsRefused) {
+  settings_.state_kept.value_kb = 0.5;
+  Write(kGood);
+  DisruptionPolicy policy;
+  EXPECT_NE(LoadPolicyFile(path_, settings_, &policy).find("a value of the state service"),
+            std::string::npos);
+  EXPECT_EQ(LoadPolicyFile(path_ + ".none", settings_, &policy), "can't be read");
+}
+
+// Two controllers with files of their own, and one state service.
+class ReplicatorTest : public ::testing::Test {
+ protected:
+  static std::shared_ptr<DisruptionPolicy> Revision(uint64_t revision, const std::string& rest) {
+    auto policy = std::make_shared<DisruptionPolicy>();
+    EXPECT_EQ(
+        ReadPolicy("(disruption (revision \"" + std::to_string(revision) + "\") " + rest + ")",
+                   policy.get()),
+        "");
+    return policy;
+  }
+  void Turn(double seconds = 6) {
+    for (int i = 0; i < 8; ++i) {
+      clock_.now += seconds / 8;
+      one_.Tick();
+      two_.Tick();
+      state_.Run();
+    }
+  }
+  FakeClock clock_;
+  FakeState state_;
+  Settings settings_ = TwoTeams();
+  PolicyReplicator one_{&state_, &clock_, &settings_};
+  PolicyReplicator two_{&state_, &clock_, &settings_};
+};
+
+TEST_F(ReplicatorTest, TheHighestRevisionCountsForAllControllers) {
+  one_.Offer(Revision(3, "(budgets (team \"blue\" (down \"3\")))"));
+  two_.Offer(Revision(5, "(budgets (team \"blue\" (down \"5\")))"));
+  Turn();
+  Turn();
+  ASSERT_NE(one_.in_force(), nullptr);
+  EXPECT_EQ(one_.in_force()->revision, 5U);
+  EXPECT_EQ(two_.in_force()->revision, 5U);
+  EXPECT_EQ(one_.in_force()->budgets[0].down->Of(100), 5U);
+  // The older file does not come back when its controller starts anew.
+  one_.Offer(Revision(3, ""));
+  Turn();
+  EXPECT_EQ(two_.in_force()->revision, 5U);
+  EXPECT_GT(one_.confirmed_at(), clock_.now - 6);
+}
+
+TEST_F(ReplicatorTest, OfTwoFilesWithOneRevisionTheStoredOneCounts) {
+  one_.Offer(Revision(3, "(budgets (team \"blue\" (down \"3\")))"));
+  Turn();
+  two_.Offer(Revision(3, "(budgets (team \"blue\" (down \"9\")))"));
+  Turn();
+  EXPECT_EQ(two_.in_force()->budgets[0].down->Of(100), 3U);
+  EXPECT_EQ(one_.in_force()->budgets[0].down->Of(100), 3U);
+}
+
+TEST_F(ReplicatorTest, WhatIsUnreadableIsReplacedAndWhatIsUnusableIsKeptOut) {
+  state_.keys[PolicyReplicator::kKey] = {"\"nonsense\"", 50, 0};
+  one_.Offer(Revision(3, ""));
+  Turn();
+  ASSERT_NE(one_.in_force(), nullptr);
+  EXPECT_EQ(one_.in_force()->revision, 3U);
+  auto unusable = Revision(9, "(budgets (team \"nobody\" (down \"1\")))");
+  state_.keys[PolicyReplicator::kKey] = {EncodePolicy(*unusable), ++state_.revision, 0};
+  Turn();
+  EXPECT_EQ(one_.in_force()->revision, 3U);
+  // Not confirmed any more: nothing voluntary happens until the operators mend it.
+  EXPECT_LT(one_.confirmed_at(), clock_.now - 5);
+}
+
+TEST_F(ReplicatorTest, NothingIsReadOrWrittenWithoutAFile) {
+  Turn();
+  EXPECT_TRUE(state_.committed.empty());
+  EXPECT_EQ(one_.in_force(), nullptr);
+  EXPECT_EQ(one_.confirmed_at(), -1);
+}
+
+TEST_F(ReplicatorTest, AnOutageOrALostAnswerOnlyDelaysIt) {
+  state_.refuse = true;
+  one_.Offer(Revision(3, ""));
+  Turn();
+  EXPECT_EQ(one_.in_force(), nullptr);
+  state_.refuse = false;
+  state_.lose_answers = 1;
+  Turn();
+  Turn();
+  ASSERT_NE(one_.in_force(), nullptr);
+  EXPECT_EQ(state_.committed.size(), 1U);
+}
+
+TEST(DrainRecord, ComesBackAsWrittenAndOtherRowsAreLeftAlone) {
+  DrainProgress p;
+  p.drain = "west \"quoted\"";
+  p.state = DrainState::kPaused;
+  p.since_wall = 1234.5;
+  p.machines_done = 3;
+  p.machines_left = 4;
+  p.replicas_moved = 5;
+  p.replicas_moving = 6;
+  p.tasks_stopped = 7;
+  p.steps_given_up = 8;
+  p.why = "paused";
+  p.waiting_since_wall = 1200;
+  DrainProgress back;
+  ASSERT_TRUE(DecodeProgress(EncodeProgress(p), &back));
+  EXPECT_EQ(back, p);
+  EXPECT_LE(EncodeProgress(p).size(), kProgressBytes);
+  StepRecord s{"west", "job-1", 2, "m-3", 4, 5.5};
+  StepRecord step;
+  ASSERT_TRUE(DecodeStep(EncodeStep(s), &step));
+  EXPECT_EQ(step.machine, "m-3");
+  EXPECT_EQ(step.attempt, 4U);
+  EXPECT_FALSE(DecodeProgress(EncodeStep(s), &back));
+  EXPECT_FALSE(DecodeStep(EncodeProgress(p), &step));
+  EXPECT_FALSE(DecodeProgress(R"({"m":"m-1","e":""})", &back));
+  EXPECT_FALSE(DecodeStep("[]", &step));
+}
+
+TEST(DrainRecord, ALongReasonDoesNotOutgrowItsRow) {
+  DrainProgress p;
+  p.drain = std::string(60, 'd');
+  p.why = std::string(5000, 'w');
+  p.machines_done = p.machines_left = p.replicas_moved = UINT64_MAX;
+  p.replicas_moving = p.tasks_stopped = p.steps_given_up = UINT64_MAX;
+  p.since_wall = p.waiting_since_wall = 1e10;
+  EXPECT_LE(EncodeProgress(p).size(), kProgressBytes);
+}
+
+TEST(DrainsCommand, ShowsProgressAndWhyADrainWaits) {
+  DrainProgress p;
+  p.drain = "west";
+  p.since_wall = 1000;
+  p.machines_done = 2;
+  p.machines_left = 3;
+  p.why = "the budget allows no more down: blue, 1 of at most 1";
+  p.waiting_since_wall = 1100;
+  const StepRecord s{"west", "job-1", 2, "m-3", 4, 1130};
+  DrainRecords records;
+  ReadDrainRows("[{\"m\":\"m-1\"}," + EncodeProgress(p) + "," + EncodeStep(s) + "]", &records);
+  ReadDrainRows("not a page", &records);
+  const std::string text = DescribeDrains(records, 1142);
+  EXPECT_NE(text.find("2 machines done, 3 left"), std::string::npos) << text;
+  EXPECT_NE(text.find("waits for 42 s: the budget allows"), std::string::npos) << text;
+  EXPECT_NE(text.find("moving job-1/2 off m-3 for 12 s"), std::string::npos) << text;
+  EXPECT_EQ(DescribeDrains({}, 0), "no drains\n");
+}
+
+}  // namespace
+}  // namespace deckhall
--- /dev/null
+++ b/tests/drain_world.cc
@@ -0,0 +1,139 @@
+#include "drain_world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace deckhall {
+
+DrainWorld::DrainWorld() {
+  settings.report_s = 1;
+  // Machines are rented only where a test asks for it.
+  cloud.refuse = true;
+}
+
+void DrainWorld::Policy(const std::string& sections, bool confirmed) {
+  auto policy = std::make_shared<DisruptionPolicy>();
+  const std::string text =
+      "(disruption (revision \"" + std::to_string(++revision_) + "\") " + sections + ")";
+  EXPECT_EQ(ReadPolicy(text, policy.get()), "") << text;
+  EXPECT_EQ(CheckPolicy(*policy, settings), "") << text;
+  policy_ = policy;
+  most_down_.clear();
+  leader->Use(policy_, confirmed);
+}
+
+void DrainWorld::NextLeader() {
+  Lead();
+  leader->Use(policy_, true);
+  Settle();
+}
+
+void DrainWorld::StartService(JobSpec spec) {
+  services_[spec.id] = spec;
+  EXPECT_EQ(Submit(spec).status, 201);
+  Watch(3);
+  EXPECT_EQ(Down(spec.team), 0U) << spec.id;
+}
+
+void DrainWorld::StartService(const std::string& id, uint32_t replicas, const std::string& team,
+                              double cores) {
+  JobSpec spec = Service(id, replicas, cores);
+  spec.team = team;
+  StartService(spec);
+}
+
+void DrainWorld::FollowCloud() {
+  for (; booted_ < cloud.given.size(); ++booted_) {
+    Machine(cloud.given[booted_].first, cloud.given[booted_].second);
+  }
+  for (; removed_ < cloud.returned.size(); ++removed_) Lose(cloud.returned[removed_]);
+}
+
+void DrainWorld::Lose(const std::string& machine) {
+  FakeWorker& w = At(machine);
+  w.silent = true;
+  w.report.tasks.clear();
+}
+
+void DrainWorld::StartTasks() {
+  for (auto& [endpoint, w] : workers.at) {
+    w.stuck = true;
+    if (broken_.contains(w.report.machine)) continue;
+    for (TaskReport& t : w.report.tasks) {
+      if (t.state != TaskState::kFetching) continue;
+      if (broken_jobs_.contains(t.task.substr(0, t.task.rfind('/')))) continue;
+      const double since = launched_.try_emplace({t.task, t.attempt}, clock.now).first->second;
+      if (clock.now - since >= start_s) {
+        t.state = w.InGang(t.task) ? TaskState::kGathering : TaskState::kRunning;
+      }
+    }
+  }
+}
+
+void DrainWorld::Watch(double seconds) {
+  const double end = clock.now + seconds;
+  while (clock.now < end) {
+    StartTasks();
+    Pass(0.5);
+    FollowCloud();
+    for (const auto& [id, spec] : services_) {
+      most_down_[spec.team] = std::max(most_down_[spec.team], Down(spec.team));
+    }
+  }
+}
+
+bool DrainWorld::WatchUntilDone(const std::string& drain, double most_s) {
+  const double end = clock.now + most_s;
+  while (clock.now < end) {
+    Watch(0.5);
+    if (Progress(drain).state == DrainState::kDone) return true;
+  }
+  return false;
+}
+
+bool DrainWorld::Runs(const std::string& task) const {
+  return std::any_of(workers.at.begin(), workers.at.end(), [&task](const auto& at) {
+    const std::vector<TaskReport>& tasks = at.second.report.tasks;
+    return !at.second.silent &&
+           std::any_of(tasks.begin(), tasks.end(), [&task](const TaskReport& t) {
+             return t.task == task && t.state == TaskState::kRunning;
+           });
+  });
+}
+
+size_t DrainWorld::Down(const std::string& team) const {
+  size_t down = 0;
+  for (const auto& [id, spec] : services_) {
+    if (spec.team != team) continue;
+    for (uint32_t t = 0; t < spec.tasks; ++t) down += Runs(id + "/" + std::to_string(t)) ? 0 : 1;
+  }
+  return down;
+}
+
+size_t DrainWorld::MostDown(const std::string& team) const {
+  auto it = most_down_.find(team);
+  return it == most_down_.end() ? 0 : it->second;
+}
+
+DrainProgress DrainWorld::Progress(const std::string& drain) const {
+  for (const DrainProgress& p : leader->drainer().Progress()) {
+    if (p.drain == drain) return p;
+  }
+  ADD_FAILURE() << "no drain " << drain;
+  return {};
+}
+
+size_t DrainWorld::OnMachine(const std::string& machine) const {
+  auto it = workers.at.find(machine + ":1");
+  if (it == workers.at.end()) return 0;
+  return static_cast<size_t>(
+      std::count_if(it->second.report.tasks.begin(), it->second.report.tasks.end(),
+                    [](const TaskReport& t) { return t.state != TaskState::kExited; }));
+}
+
+bool DrainWorld::Returned(const std::string& machine) const {
+  return std::find(cloud.returned.begin(), cloud.returned.end(), machine) != cloud.returned.end();
+}
+
+}  // namespace deckhall
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -176,8 +176,9 @@
 
 struct FakeCloud : CloudPort {
   std::vector<MachineType> types;
-  std::vector<std::pair<std::string, int>> rented;  // request, count
-  std::vector<std::string> zones;                   // of the machines rented
+  std::vector<std::pair<std::string, int>> rented;         // request, count
+  std::vector<std::string> zones;                          // of the machines rented
+  std::vector<std::pair<std::string, std::string>> given;  // machines rented, with their zones
   std::vector<std::string> returned;
   std::vector<ListedMachine> listed;
   bool out = false;
@@ -202,7 +203,10 @@
     RentAnswer a;
     a.ok = !out && !refuse;
     a.refused = refuse;
-    for (int i = 0; i < count && a.ok; ++i) a.machines.push_back("m-9" + std::to_string(next++));
+    for (int i = 0; i < count && a.ok; ++i) {
+      a.machines.push_back("m-9" + std::to_string(next++));
+      given.emplace_back(a.machines.back(), zone);
+    }
     queue.push_back([done, a] { done(a); });
   }
   void Return(const std::vector<std::string>& machines, std::function<void(bool)> done) override {
@@ -230,6 +234,7 @@
   bool deaf = false;     // reports arrive; answers and commands don't reach it
   bool unsent = false;   // commands sent straight find no connection
   bool mute = false;     // commands sent straight are never answered, nor given up
+  bool stuck = false;    // tasks that are started never run: their image does not come
   int lose_answers = 0;  // executed, answer lost
   int hold = 0;          // commands held back; see Late()
   std::vector<std::pair<uint64_t, std::pair<uint64_t, std::vector<Command>>>> held;
@@ -255,7 +260,9 @@
         return t.task == c.task && t.attempt == c.attempt;
       });
       if (c.op == CommandOp::kStart && it == report.tasks.end()) {
-        const TaskState state = InGang(c.task) ? TaskState::kGathering : TaskState::kRunning;
+        const TaskState state = stuck            ? TaskState::kFetching
+                                : InGang(c.task) ? TaskState::kGathering
+                                                 : TaskState::kRunning;
         report.tasks.push_back({c.task, c.attempt, state, ExitWhy::kNone, false});
         started.push_back(c.task);
       } else if (c.op == CommandOp::kStop && it != report.tasks.end()) {
