--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -73,7 +73,7 @@
   mesh_.SetLeading(holding && election_.Trusted(), holding, election_.term());
   policy_.Tick();
   if (leader_) {
-    leader_->Use(policy_.in_force(), policy_.confirmed_at() >= won_at_);
+    leader_->Use(policy_.in_force(), policy_.Confirmed(won_at_));
     leader_->Tick();
   }
   relay_.Tick();
--- a/src/drain/drainer.cc
+++ b/src/drain/drainer.cc
@@ -367,6 +367,7 @@
     drain->wait = {WaitReason::kReturning, ""};
     return false;
   }
+  drain->wait = {WaitReason::kStopping, m.name};
   // The books of the machine may grow while it is looked at, but nothing is taken out.
   for (size_t i = 0; i < (*fleet_)[mi].attempts.size(); ++i) {
     ++looked_at_;
@@ -466,6 +467,11 @@
             : listed && drain->queue.empty() && p.replicas_moving == 0 ? DrainState::kDone
                                                                        : DrainState::kActive;
   if (p.state == DrainState::kDone) drain->wait = {};
+  if (p.state == DrainState::kActive && drain->queue.empty()) {
+    drain->wait = {WaitReason::kReplacing, std::to_string(p.replicas_moving)};
+  }
+  if (p.state == DrainState::kPaused) drain->wait = {WaitReason::kPaused, ""};
+  if (p.state == DrainState::kActive && !confirmed_) drain->wait = {WaitReason::kPolicyNotRead, ""};
   if (p.state == DrainState::kDone && !was_done) {
     spdlog::info("drain {} is done: {} machines, {} replicas moved", p.drain, p.machines_done,
                  p.replicas_moved);
--- a/src/drain/policy_replicator.cc
+++ b/src/drain/policy_replicator.cc
@@ -31,9 +31,15 @@
 
 void PolicyReplicator::Offer(std::shared_ptr<const DisruptionPolicy> local) {
   local_ = std::move(local);
+  // A newer one counts from now on; until it is stored nothing voluntary happens.
+  confirmed_at_ = -1;
   ReadSoon();
 }
 
+bool PolicyReplicator::Confirmed(double since) const {
+  return confirmed_at_ >= 0 && confirmed_at_ >= since && clock_->Now() - confirmed_at_ < kFreshFor;
+}
+
 void PolicyReplicator::Tick() {
   if (local_ == nullptr || busy_ || clock_->Now() < next_read_) return;
   Read();
--- a/src/drain/policy_replicator.h
+++ b/src/drain/policy_replicator.h
@@ -28,8 +28,10 @@
 
   // Null until the state service was read.
   const std::shared_ptr<const DisruptionPolicy>& in_force() const { return in_force_; }
-  // When the question was sent whose answer last named it; negative: never.
-  double confirmed_at() const { return confirmed_at_; }
+  // Whether the state service named it in answer to a question sent at `since` or later, and
+  // not long ago: a budget that is lowered holds everywhere within kFreshFor.
+  bool Confirmed(double since) const;
+  static constexpr double kFreshFor = 8;  // seconds
 
  private:
   void Read();
@@ -44,7 +46,7 @@
   const Settings* settings_;
   std::shared_ptr<const DisruptionPolicy> local_;
   std::shared_ptr<const DisruptionPolicy> in_force_;
-  double confirmed_at_ = -1;
+  double confirmed_at_ = -1;  // when the question was sent whose answer last named it
   double next_read_ = 0;
   bool busy_ = false;
   std::string complained_;  // last complaint, said once
--- a/src/drain/wait_reason.cc
+++ b/src/drain/wait_reason.cc
@@ -39,6 +39,8 @@
       return "a step is not written to the state service yet";
     case WaitReason::kReturning:
       return "empty machines are to be returned to the cloud";
+    case WaitReason::kStopping:
+      return "tasks are being stopped on " + what;
     case WaitReason::kReplacing:
       return "replacements are being started: " + what;
   }
--- a/src/drain/wait_reason.h
+++ b/src/drain/wait_reason.h
@@ -24,6 +24,7 @@
   kStepsAtOnce,      // as many steps are in flight as there may be
   kStateService,     // a step is not durable yet
   kReturning,        // the empty machine is to be returned
+  kStopping,         // tasks there were told to stop
   kReplacing,        // steps are in flight
 };
 
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace deckhall {
 namespace {
@@ -265,6 +266,7 @@
 
 void Cluster::Delete(const std::string& name) {
   oracle->MachineGone(clock_.now, name);
+  if (disruption) disruption->MachineGone(clock_.now, name);
   deleted_.insert(name);
   if (auto it = workers.find(name); it != workers.end()) it->second.gone = true;
 }
@@ -305,6 +307,7 @@
   }
   void Do(const std::string& endpoint, uint64_t token, uint64_t session,
           const std::vector<Command>& commands, double timeout, Done done) override {
+    c->NoteStops(token, commands);
     Ask(
         endpoint, true, timeout,
         [c = c, token, session, commands, sent = c->clock_.now](SimWorker* w) {
@@ -378,6 +381,7 @@
       ControllerPorts{shell->state.get(), shell->cloud.get(), shell->workers.get(),
                       shell->links.get(), &shell->clock},
       s, tuning, next_instance_++);
+  if (policy_) shell->controller->OfferPolicy(policy_);
   shells_[i] = shell;
   oracle->TroubleUntil(clock_.now);
   TickNode(shell);
@@ -553,6 +557,23 @@
   });
 }
 
+void Cluster::NoteStops(uint64_t token, const std::vector<Command>& commands) {
+  for (const Command& c : commands) {
+    if (c.op == CommandOp::kStop)
+      stop_sent_.try_emplace({c.task, c.attempt, TermOf(token)}, clock_.now);
+  }
+}
+
+void Cluster::SetPolicy(const std::string& text) {
+  auto policy = std::make_shared<DisruptionPolicy>();
+  const std::string bad = ReadPolicy(text, policy.get());
+  if (!bad.empty()) throw std::invalid_argument(bad);
+  policy_ = policy;
+  for (const auto& shell : shells_) {
+    if (shell) shell->controller->OfferPolicy(policy_);
+  }
+}
+
 void Cluster::EndTask(SimWorker* w, TaskReport* t, ExitWhy why) {
   std::string job;
   uint32_t task = 0;
@@ -561,6 +582,7 @@
   t->why = why;
   w->ends_at.erase(t->task);
   oracle->Ended(clock_.now, job, task, w->report.machine, why == ExitWhy::kDone);
+  if (disruption) disruption->Ended(clock_.now, t->task, w->report.machine);
 }
 
 void Cluster::CheckLease(SimWorker* w) {
@@ -605,6 +627,9 @@
   if (!spec.service && !spec.gang) w->ends_at[c.task] = clock_.now + run_s + task * spread_s;
   oracle->Started(clock_.now, commanded_at, job, task,
                   {w->report.machine, w->report.type, w->report.zone, w->report.spot, 0, 0});
+  if (disruption && spec.service) {
+    disruption->Started(clock_.now, c.task, spec, w->report.machine);
+  }
 }
 
 void Cluster::Execute(SimWorker* w, double commanded_at, uint64_t token,
@@ -619,6 +644,9 @@
     if (c.op == CommandOp::kStart && !known) {
       Launch(w, commanded_at, c);
     } else if (c.op == CommandOp::kStop && known && it->state != TaskState::kExited) {
+      if (disruption) {
+        disruption->Stopped(clock_.now, stop_sent_[{c.task, c.attempt, TermOf(token)}], c.task);
+      }
       EndTask(w, &*it, ExitWhy::kStopped);
     } else if (c.op == CommandOp::kForget && known && it->state == TaskState::kExited) {
       w->report.tasks.erase(it);
@@ -675,6 +703,7 @@
     OnNode(shell, [this, shell, name, number, sent, report] {
       shell->controller->CheckIn(
           report, [this, shell, name, number, sent](const ReportResponse& r) {
+            NoteStops(r.token, r.commands);
             Carry(shell->name, name, [this, name, number, sent, answered = clock_.now, r] {
               Reported(name, number, sent, answered, r);
             });
@@ -753,6 +782,7 @@
 }
 
 void Cluster::Cancel(const std::string& id) {
+  if (disruption) disruption->JobOver(id);
   oracle->CancelAsked(id);
   Ask(UserOp::kCancel, id, [this, id](const UserResponse& r) {
     if (r.status == 200) {
@@ -784,12 +814,21 @@
   store_.value_limit = static_cast<size_t>(settings.state_kept.value_kb * 1024);
   store_.ops_limit = static_cast<size_t>(settings.state_kept.txn_ops);
 }
+bool Cluster::Drained(const SimWorker& w) const {
+  return policy_ != nullptr &&
+         std::any_of(policy_->drains.begin(), policy_->drains.end(), [&w](const DrainOrder& d) {
+           return d.machines.Matches(w.report.machine, w.report.type, w.report.zone,
+                                     w.report.endpoint);
+         });
+}
+
 void Cluster::Watch() {
   StepGangs();
   std::vector<Oracle::Place> open;
   for (const auto& [name, w] : workers) {
     const double now = clock_.now;
     if (w.gone || now < w.hangs_until || now < w.deaf_until || now < w.mute_until) continue;
+    if (Drained(w)) continue;
     open.push_back({name, w.report.type, w.report.zone, w.report.spot,
                     cloud_.types[0].cores - Used(w), cloud_.types[0].memory_gb});
   }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -8,9 +8,11 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "app/controller.h"
+#include "disruption_oracle.h"
 #include "fakes.h"
 #include "oracle.h"
 
@@ -73,6 +75,10 @@
   // The machine's last reports come again a while later, at all nodes.
   void ReplayReports(const std::string& machine, double after_s);
 
+  // The disruption file of every controller, those that start later included. Its budgets are
+  // handed to the oracle by the caller.
+  void SetPolicy(const std::string& text);
+
   // Users: they repeat submissions and cancellations until they are answered, and
   // ask about every job now and then.
   void Submit(const JobSpec& spec);
@@ -117,6 +123,7 @@
   int rentable = 0;  // so many more machines can be had
   std::map<std::string, SimWorker> workers;
   std::unique_ptr<Oracle> oracle;
+  std::unique_ptr<DisruptionOracle> disruption;  // once budgets are watched
 
  private:
   struct Shell;
@@ -159,6 +166,10 @@
   void Execute(SimWorker* w, double commanded_at, uint64_t token,
                const std::vector<Command>& commands);
   void Launch(SimWorker* w, double commanded_at, const Command& c);
+  // Remembers when the leader of each term first told a task to stop.
+  // A drain names it: it takes no new tasks.
+  bool Drained(const SimWorker& w) const;
+  void NoteStops(uint64_t token, const std::vector<Command>& commands);
   void EndTask(SimWorker* w, TaskReport* t, ExitWhy why);
   double Used(const SimWorker& w) const;
   // Tasks of gangs start, end, and notice lost ones (cluster_gangs.cc).
@@ -201,6 +212,9 @@
   std::vector<Watching> watching_;
   std::map<std::string, JobSpec> specs_;
   std::map<std::pair<std::string, uint64_t>, GangAttempt> gangs_;  // by job and attempt
+  // By task, attempt and term.
+  std::map<std::tuple<std::string, uint64_t, uint64_t>, double> stop_sent_;
+  std::shared_ptr<const DisruptionPolicy> policy_;
   std::set<std::string> accepted_;
   std::set<std::string> over_;
   std::set<std::string> cancelled_;
--- a/tests/drain_policy_test.cc
+++ b/tests/drain_policy_test.cc
@@ -201,7 +201,24 @@
   one_.Offer(Revision(3, ""));
   Turn();
   EXPECT_EQ(two_.in_force()->revision, 5U);
-  EXPECT_GT(one_.confirmed_at(), clock_.now - 6);
+  EXPECT_TRUE(one_.Confirmed(clock_.now - 6));
+}
+
+// A budget may have been lowered elsewhere meanwhile.
+TEST_F(ReplicatorTest, APolicyThatCouldNotBeReadForAWhileIsNotConfirmed) {
+  one_.Offer(Revision(3, ""));
+  Turn();
+  EXPECT_TRUE(one_.Confirmed(0));
+  state_.refuse = true;
+  Turn(10);
+  EXPECT_FALSE(one_.Confirmed(0));
+  EXPECT_EQ(one_.in_force()->revision, 3U);
+  state_.refuse = false;
+  Turn();
+  EXPECT_TRUE(one_.Confirmed(0));
+  // A new file: nothing before it is stored.
+  one_.Offer(Revision(4, ""));
+  EXPECT_FALSE(one_.Confirmed(0));
 }
 
 TEST_F(ReplicatorTest, OfTwoFilesWithOneRevisionTheStoredOneCounts) {
@@ -224,14 +241,14 @@
   Turn();
   EXPECT_EQ(one_.in_force()->revision, 3U);
   // Not confirmed any more: nothing voluntary happens until the operators mend it.
-  EXPECT_LT(one_.confirmed_at(), clock_.now - 5);
+  EXPECT_FALSE(one_.Confirmed(clock_.now - 5));
 }
 
 TEST_F(ReplicatorTest, NothingIsReadOrWrittenWithoutAFile) {
   Turn();
   EXPECT_TRUE(state_.committed.empty());
   EXPECT_EQ(one_.in_force(), nullptr);
-  EXPECT_EQ(one_.confirmed_at(), -1);
+  EXPECT_FALSE(one_.Confirmed(0));
 }
 
 TEST_F(ReplicatorTest, AnOutageOrALostAnswerOnlyDelaysIt) {
