--- /dev/null
+++ b/tests/loopback_controllers.cc
@@ -0,0 +1,163 @@
+#include "loopback_controllers.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "loopback_state.h"
+
+extern char** environ;
+
+namespace deckhall {
+namespace {
+
+pid_t Spawn(const std::vector<std::string>& arguments, const std::string& output) {
+  std::vector<char*> argv;
+  for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                   0600);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  pid_t pid = -1;
+  EXPECT_EQ(posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ), 0);
+  posix_spawn_file_actions_destroy(&actions);
+  return pid;
+}
+
+std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
+
+std::string Joined(const std::vector<std::string>& parts) {
+  std::string out;
+  for (const std::string& part : parts) out += (out.empty() ? "" : ",") + part;
+  return out;
+}
+
+}  // namespace
+
+int ExitStatus(pid_t pid) {
+  int status = 0;
+  if (waitpid(pid, &status, WNOHANG) != pid) return -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+std::string ReadWhole(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+LoopbackControllers::LoopbackControllers(size_t count, const Endpoint& state, const Endpoint& cloud,
+                                         const LoopbackSettings& settings) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "deckhall-XXXXXX").string();
+  folder_ = mkdtemp(pattern.data());
+  std::vector<Endpoint> mesh;
+  for (size_t i = 0; i < count; ++i) {
+    nodes_.push_back({"n" + std::to_string(i), -1});
+    served_.push_back(FreeEndpoint("127.0.0.1"));
+    mesh.push_back(FreeEndpoint("127.0.0.1"));
+  }
+  std::vector<std::string> zones;
+  for (const std::string& zone : settings.zones) zones.push_back(Quoted(zone));
+  std::vector<std::string> teams;
+  for (const std::string& team : settings.teams) teams.push_back("{\"name\":" + Quoted(team) + "}");
+  for (size_t i = 0; i < count; ++i) {
+    std::vector<std::string> siblings;
+    for (size_t j = 0; j < count; ++j) {
+      if (j == i) continue;
+      siblings.push_back("{\"label\":" + Quoted(nodes_[j].label) + ",\"site\":" +
+                         zones[j % zones.size()] + ",\"endpoint\":" + Quoted(mesh[j].Text()) + "}");
+    }
+    std::ofstream(ConfigOf(i))
+        << "{\"label\":" << Quoted(nodes_[i].label) << ",\"site\":" << zones[i % zones.size()]
+        << ",\"serve_on\":" << Quoted(served_[i].Text())
+        << ",\"mesh_addr\":" << Quoted(mesh[i].Text()) << ",\"siblings\":[" << Joined(siblings)
+        << "],\"external\":{\"cloud\":" << Quoted(cloud.Text())
+        << ",\"state\":" << Quoted(state.Text()) << "},\"cluster\":{\"size\":" << count
+        << ",\"zones\":[" << Joined(zones) << "],\"teams\":[" << Joined(teams)
+        << "],\"workers\":{\"report_s\":" << settings.report_s
+        << ",\"lease_s\":" << settings.lease_s << ",\"cancel_s\":" << settings.cancel_s
+        << "},\"state\":{\"rps\":500,\"write_rps\":200,\"value_kb\":8,\"txn_ops\":16},"
+        << "\"cloud\":{\"rps\":20,\"list_lag_s\":1},"
+        << "\"quota\":{\"cores\":1,\"mem_mb\":200,\"max_sockets\":1000},\"time_bound_ms\":100}}";
+  }
+}
+
+LoopbackControllers::~LoopbackControllers() {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (Running(i)) Kill(i);
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string LoopbackControllers::ConfigOf(size_t node) const {
+  return folder_ + "/" + nodes_[node].label + ".json";
+}
+
+std::string LoopbackControllers::LogOf(size_t node) const {
+  return folder_ + "/" + nodes_[node].label + ".log";
+}
+
+size_t LoopbackControllers::IndexOf(const std::string& label) const {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].label == label) return i;
+  }
+  return SIZE_MAX;
+}
+
+void LoopbackControllers::WritePolicy(size_t node, const std::string& text) {
+  // Renamed into its place, so that no half of it is read.
+  const std::string path = folder_ + "/" + nodes_[node].label + ".sexp";
+  std::ofstream(path + ".new") << text;
+  std::filesystem::rename(path + ".new", path);
+}
+
+void LoopbackControllers::Start(size_t node) {
+  const std::string policy = folder_ + "/" + nodes_[node].label + ".sexp";
+  std::vector<std::string> arguments = {DECKHALL_BINARY, "serve"};
+  if (std::filesystem::exists(policy)) {
+    arguments.insert(arguments.end(), {"--disruption", policy});
+  }
+  arguments.insert(arguments.end(), {"--config", ConfigOf(node)});
+  nodes_[node].pid = Spawn(arguments, LogOf(node));
+}
+
+void LoopbackControllers::Kill(size_t node) {
+  kill(nodes_[node].pid, SIGKILL);
+  int status = 0;
+  waitpid(nodes_[node].pid, &status, 0);
+  nodes_[node].pid = -1;
+}
+
+void LoopbackControllers::Freeze(size_t node) { kill(nodes_[node].pid, SIGSTOP); }
+
+void LoopbackControllers::Thaw(size_t node) { kill(nodes_[node].pid, SIGCONT); }
+
+int LoopbackControllers::EndedByThemselves() {
+  for (Node& node : nodes_) {
+    if (node.pid <= 0 || ExitStatus(node.pid) < 0) continue;
+    node.pid = -1;
+    ++ended_;
+  }
+  return ended_;
+}
+
+std::string LoopbackControllers::RunCommand(const std::vector<std::string>& arguments, pid_t* pid) {
+  const std::string output = folder_ + "/command-" + std::to_string(commands_++) + ".out";
+  std::vector<std::string> all = {DECKHALL_BINARY};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  *pid = Spawn(all, output);
+  return output;
+}
+
+}  // namespace deckhall
