--- a/src/app/drains_command.cc
+++ b/src/app/drains_command.cc
@@ -67,6 +67,7 @@
     if (d.state != DrainState::kDone && !d.why.empty()) {
       out += "  waits for " + Ago(wall - d.waiting_since_wall) + ": " + d.why + "\n";
     }
+    if (d.state == DrainState::kDone && d.machines_done == 0) out += "  no machine matched\n";
     for (const StepRecord& s : records.steps) {
       if (s.drain != d.drain) continue;
       out += "  moving " + s.job + "/" + std::to_string(s.task) + " off " + s.machine + " for " +
--- a/src/drain/drainer.cc
+++ b/src/drain/drainer.cc
@@ -27,6 +27,7 @@
     : book_(ports.book),
       fleet_(ports.fleet),
       free_capacity_(ports.free_capacity),
+      rentals_(ports.rentals),
       gangs_(ports.gangs),
       store_(ports.store),
       ledger_(ports.ledger),
@@ -277,6 +278,12 @@
   }
 }
 
+bool Drainer::TypeUnknown(const Drain& drain) const {
+  const std::string& type = drain.order->machines.type;
+  if (type.empty() || !rentals_->types_known() || drain.progress.machines_done > 0) return false;
+  return rentals_->TypeOf(book_->types.Find(type)) == nullptr;
+}
+
 bool Drainer::PastDeadline(const Drain& drain) const {
   return drain.order->deadline_s &&
          clock_->Wall() >= drain.progress.since_wall + *drain.order->deadline_s;
@@ -462,16 +469,22 @@
   p.replicas_moving = step_book_.CountOf(p.drain);
   const bool was_done = p.state == DrainState::kDone;
   p.machines_left = drain->queue.size();
-  const bool listed = drain->sorted_at >= 0 && confirmed_;
-  p.state = drain->order->paused                                       ? DrainState::kPaused
-            : listed && drain->queue.empty() && p.replicas_moving == 0 ? DrainState::kDone
-                                                                       : DrainState::kActive;
-  if (p.state == DrainState::kDone) drain->wait = {};
-  if (p.state == DrainState::kActive && drain->queue.empty()) {
+  const bool empty = drain->sorted_at >= 0 && confirmed_ && drain->queue.empty();
+  const bool unknown = drain->queue.empty() && TypeUnknown(*drain);
+  p.state = DrainState::kActive;
+  if (empty && p.replicas_moving == 0 && !unknown) p.state = DrainState::kDone;
+  if (drain->order->paused) p.state = DrainState::kPaused;
+  if (p.state == DrainState::kPaused) {
+    drain->wait = {WaitReason::kPaused, ""};
+  } else if (p.state == DrainState::kDone) {
+    drain->wait = {};
+  } else if (!confirmed_) {
+    drain->wait = {WaitReason::kPolicyNotRead, ""};
+  } else if (unknown) {
+    drain->wait = {WaitReason::kUnknownType, drain->order->machines.type};
+  } else if (drain->queue.empty()) {
     drain->wait = {WaitReason::kReplacing, std::to_string(p.replicas_moving)};
   }
-  if (p.state == DrainState::kPaused) drain->wait = {WaitReason::kPaused, ""};
-  if (p.state == DrainState::kActive && !confirmed_) drain->wait = {WaitReason::kPolicyNotRead, ""};
   if (p.state == DrainState::kDone && !was_done) {
     spdlog::info("drain {} is done: {} machines, {} replicas moved", p.drain, p.machines_done,
                  p.replicas_moved);
--- a/src/drain/drainer.h
+++ b/src/drain/drainer.h
@@ -102,6 +102,8 @@
   Wait MayMove(MachIdx m, const PlacedAttempt& slot) const;
   void MoveStuckReplica(MachIdx m, const PlacedAttempt& slot);
   void SortMachines(Drain* drain);
+  // Its type is not on offer, nor on any machine.
+  bool TypeUnknown(const Drain& drain) const;
   bool PastDeadline(const Drain& drain) const;
   void RefreshDrain(Drain* drain);
   void Write(Drain* drain);
@@ -112,6 +114,7 @@
   JobBook* book_;
   Fleet* fleet_;
   FreeCapacity* free_capacity_;
+  Rentals* rentals_;
   GangKeeper* gangs_;
   RowStore* store_;
   DisruptionLedger* ledger_;
--- a/src/drain/wait_reason.cc
+++ b/src/drain/wait_reason.cc
@@ -29,6 +29,8 @@
       return "one_zone or apart leave no zone for a replacement of " + what;
     case WaitReason::kReplicaStarting:
       return what + " is not up yet";
+    case WaitReason::kUnknownType:
+      return "the cloud offers no machine type " + what;
     case WaitReason::kMachineSilent:
       return "machine " + what + " does not answer";
     case WaitReason::kArraysRunning:
--- a/src/drain/wait_reason.h
+++ b/src/drain/wait_reason.h
@@ -19,6 +19,7 @@
   kNoImage,          // room is only where the image would have to be fetched
   kZoneRule,         // one_zone or apart leave no zone
   kReplicaStarting,  // a replica there does not run yet
+  kUnknownType,      // the cloud offers no such machine type
   kMachineSilent,    // the machine does not answer
   kArraysRunning,    // tasks of arrays end by themselves
   kStepsAtOnce,      // as many steps are in flight as there may be
--- a/src/leader/free_capacity.cc
+++ b/src/leader/free_capacity.cc
@@ -205,12 +205,14 @@
   }
 }
 
-bool FreeCapacity::TeamRoom(const Job& job) const {
+bool FreeCapacity::TeamRoom(const Job& job, size_t tasks) const {
   const Team* team = TeamOf(job.team);
   if (team == nullptr) return false;
-  const Use& u = use_[job.team];
-  if (team->cores_max > 0 && u.cores + job.spec.cores > team->cores_max + kEps) return false;
-  return team->gpus_max <= 0 || u.gpus + job.spec.gpus <= team->gpus_max + kEps;
+  const Use& use = use_[job.team];
+  const auto count = static_cast<double>(tasks);
+  const double cores = use.cores + count * job.spec.cores;
+  if (team->cores_max > 0 && cores > team->cores_max + kEps) return false;
+  return team->gpus_max <= 0 || use.gpus + count * job.spec.gpus <= team->gpus_max + kEps;
 }
 
 double FreeCapacity::TeamLeft(uint32_t team) const {
--- a/src/leader/free_capacity.h
+++ b/src/leader/free_capacity.h
@@ -28,7 +28,8 @@
   static bool MayBeOn(const Job& job, const Machine& m);
   // By team index; unknown teams have none.
   const Team* TeamOf(uint32_t team) const;
-  bool TeamRoom(const Job& job) const;
+  // Whether the limit of its team leaves room for so many more tasks of the job.
+  bool TeamRoom(const Job& job, size_t tasks = 1) const;
   // Cores the team may still use, a large number without a limit.
   double TeamLeft(uint32_t team) const;
   const Use& UseOf(uint32_t team) const { return use_[team]; }
--- a/src/leader/gang_placer.cc
+++ b/src/leader/gang_placer.cc
@@ -49,15 +49,6 @@
   return sets;
 }
 
-bool GangPlacer::WithinLimit(const Job& job, size_t tasks) const {
-  const auto n = static_cast<double>(tasks);
-  const Team* team = free_capacity_->TeamOf(job.team);
-  if (team == nullptr) return false;
-  const Use& use = free_capacity_->UseOf(job.team);
-  if (team->cores_max > 0 && use.cores + n * job.spec.cores > team->cores_max + kEps) return false;
-  return team->gpus_max <= 0 || use.gpus + n * job.spec.gpus <= team->gpus_max + kEps;
-}
-
 void GangPlacer::TakeOnTrial(const Job& job, uint32_t node) {
   Node& n = free_capacity_->nodes()[node];
   n.cores -= job.spec.cores;
@@ -106,7 +97,8 @@
 
 void GangPlacer::Start(JobIdx j, const std::vector<uint32_t>& open) {
   Job& job = (*book_)[j];
-  if (job.waiting.size() < job.tasks.size() || !WithinLimit(job, job.tasks.size())) return;
+  if (job.waiting.size() < job.tasks.size() || !free_capacity_->TeamRoom(job, job.tasks.size()))
+    return;
   const std::vector<std::vector<char>> zone_sets = ZoneSets(job);
   Plan best;
   for (const std::vector<char>& zones : zone_sets) {
@@ -155,7 +147,7 @@
 
 void GangPlacer::Complete(JobIdx j, const std::vector<uint32_t>& open) {
   Job& job = (*book_)[j];
-  if (!WithinLimit(job, job.waiting.size())) return;
+  if (!free_capacity_->TeamRoom(job, job.waiting.size())) return;
   std::vector<char> zones;
   std::vector<uint32_t> on = job.on;
   if (!free_capacity_->ZoneRoom(job, on, &zones)) return;
--- a/src/leader/gang_placer.h
+++ b/src/leader/gang_placer.h
@@ -35,8 +35,6 @@
   void Complete(JobIdx j, const std::vector<uint32_t>& open);
   // The sets of zones in which the whole gang may be: one zone each if it must be in one.
   std::vector<std::vector<char>> ZoneSets(const Job& job) const;
-  // Whether the team's limit allows so many more tasks.
-  bool WithinLimit(const Job& job, size_t tasks) const;
   // False: there is no room for all of them.
   bool Find(const Job& job, const std::vector<char>& zones, const std::vector<uint32_t>& open,
             Plan* plan);
--- a/src/leader/planner.cc
+++ b/src/leader/planner.cc
@@ -84,15 +84,7 @@
     o.existing = pending;
     // Machines asked for count as if they were booting.
     for (int i = 0; i < pending; ++i) {
-      Node n;
-      n.type = o.type;
-      n.zone = o.zone;
-      n.spot = o.spot;
-      n.usable = true;
-      n.cores = o.cores;
-      n.gpus = o.gpus;
-      n.memory_gb = o.memory_gb;
-      bins->push_back(n);
+      bins->push_back(EmptyMachine(o));
       ++*machines;
     }
     offers.push_back(o);
--- a/src/sched/capacity.cc
+++ b/src/sched/capacity.cc
@@ -74,14 +74,7 @@
     const Offer& o = (*draft->offers)[static_cast<size_t>(at)];
     ++draft->rented[static_cast<size_t>(at)];
     ++draft->total;
-    Node node;
-    node.type = o.type;
-    node.zone = o.zone;
-    node.spot = o.spot;
-    node.usable = true;
-    node.cores = o.cores;
-    node.gpus = o.gpus;
-    node.memory_gb = o.memory_gb;
+    Node node = EmptyMachine(o);
     while (left > 0 && Fits(need, node)) {
       Take(&node, need);
       --left;
@@ -119,6 +112,18 @@
 
 }  // namespace
 
+Node EmptyMachine(const Offer& offer) {
+  Node node;
+  node.type = offer.type;
+  node.zone = offer.zone;
+  node.spot = offer.spot;
+  node.usable = true;
+  node.cores = offer.cores;
+  node.gpus = offer.gpus;
+  node.memory_gb = offer.memory_gb;
+  return node;
+}
+
 std::vector<Rental> PlanRentals(const std::vector<Offer>& offers, std::vector<Node> bins,
                                 const std::vector<Want>& wants, int most_machines) {
   Draft draft{&offers, std::move(bins), std::vector<int>(offers.size(), 0), 0, most_machines};
--- a/src/sched/capacity.h
+++ b/src/sched/capacity.h
@@ -21,6 +21,9 @@
   int existing = 0;  // machines of this pool, for spreading
 };
 
+// A machine of that offer with nothing on it.
+Node EmptyMachine(const Offer& offer);
+
 struct Want {
   Need need;
   uint32_t count = 1;
--- a/tests/drain_test.cc
+++ b/tests/drain_test.cc
@@ -619,6 +619,16 @@
   EXPECT_NE(w.Why("type").find("no machine has room"), std::string::npos) << w.Why("type");
 }
 
+TEST(Drain, OfAnUnknownTypeSaysSoAndClosesNothing) {
+  DrainWorld w;
+  w.Lead();
+  w.Machine("m-1", "east");
+  w.Policy(WithDrains("(drain \"type\" (type \"bxo\"))"));
+  w.Watch(10);
+  EXPECT_NE(w.Why("type").find("no machine type bxo"), std::string::npos) << w.Why("type");
+  EXPECT_NE(w.Progress("type").state, DrainState::kDone);
+}
+
 TEST(Drain, TasksOfArraysEndByThemselvesUntilTheDeadline) {
   DrainWorld w;
   w.Lead();
