Wire: the worker's side of the protocol, for clients and stand-ins; tests condensed

Need: the stand-in workers wrote and read the messages by hand. Change: EncodeReport and DecodeOrders beside their counterparts, one table of words for both directions; common set-ups of the drain tests in DrainWorld; a test that a drain withdrawn or paused before the stop stops nothing (the guard was noticed by no test).

--- a/src/wire/worker_codec.cc
+++ b/src/wire/worker_codec.cc
@@ -5,44 +5,76 @@
 namespace deckhall {
 namespace {
 
+// Both directions use the same words.
+struct StateWord {
+  TaskState state;
+  const char* word;
+};
+constexpr StateWord kStateWords[] = {{TaskState::kFetching, "pulling"},
+                                     {TaskState::kRunning, "running"},
+                                     {TaskState::kSaving, "flushing"},
+                                     {TaskState::kGathering, "gathering"},
+                                     {TaskState::kExited, "ended"}};
+struct ExitWord {
+  ExitWhy why;
+  const char* word;
+};
+constexpr ExitWord kExitWords[] = {
+    {ExitWhy::kDone, "done"},    {ExitWhy::kStopped, "stopped"},
+    {ExitWhy::kError, "error"},  {ExitWhy::kNoRoom, "no_room"},
+    {ExitWhy::kInUse, "in_use"}, {ExitWhy::kUnknown, "unknown"},
+    {ExitWhy::kPeers, "peers"},  {ExitWhy::kIncomplete, "incomplete"}};
+struct OpWord {
+  CommandOp op;
+  const char* word;
+};
+constexpr OpWord kOpWords[] = {
+    {CommandOp::kStart, "launch"}, {CommandOp::kStop, "stop"}, {CommandOp::kForget, "clear"}};
+
 bool ReadTaskState(const std::string& word, TaskState* out) {
-  if (word == "pulling") {
-    *out = TaskState::kFetching;
-  } else if (word == "running") {
-    *out = TaskState::kRunning;
-  } else if (word == "flushing") {
-    *out = TaskState::kSaving;
-  } else if (word == "gathering") {
-    *out = TaskState::kGathering;
-  } else if (word == "ended") {
-    *out = TaskState::kExited;
-  } else {
-    return false;
+  for (const StateWord& known : kStateWords) {
+    if (word != known.word) continue;
+    *out = known.state;
+    return true;
   }
-  return true;
+  return false;
 }
 
 // A reason we do not know is treated like a failure: the task is not done.
 ExitWhy ReadWhy(const std::string& word) {
-  if (word == "done") return ExitWhy::kDone;
-  if (word == "stopped") return ExitWhy::kStopped;
-  if (word == "no_room") return ExitWhy::kNoRoom;
-  if (word == "in_use") return ExitWhy::kInUse;
-  if (word == "unknown") return ExitWhy::kUnknown;
-  if (word == "peers") return ExitWhy::kPeers;
-  if (word == "incomplete") return ExitWhy::kIncomplete;
+  for (const ExitWord& known : kExitWords) {
+    if (word == known.word) return known.why;
+  }
   return ExitWhy::kError;
 }
 
+const char* WordOf(TaskState state) {
+  for (const StateWord& known : kStateWords) {
+    if (state == known.state) return known.word;
+  }
+  return "";
+}
+
+const char* WordOf(ExitWhy why) {
+  for (const ExitWord& known : kExitWords) {
+    if (why == known.why) return known.word;
+  }
+  return "error";
+}
+
+const char* WordOf(CommandOp op) {
+  for (const OpWord& known : kOpWords) {
+    if (op == known.op) return known.word;
+  }
+  return "";
+}
+
 void WriteCommands(JsonWriter& w, const std::vector<Command>& commands) {
   w.Key("ordenes");
   w.StartArray();
   for (const Command& c : commands) {
     w.StartObject();
-    const char* op = c.op == CommandOp::kStart  ? "launch"
-                     : c.op == CommandOp::kStop ? "stop"
-                                                : "clear";
-    PutString(w, "maniobra", op);
+    PutString(w, "maniobra", WordOf(c.op));
     PutString(w, "faena", c.task);
     w.Key("intento");
     w.Uint64(c.attempt);
@@ -93,6 +125,74 @@
   return true;
 }
 
+std::string EncodeReport(const Report& r) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter w(buffer);
+  w.StartObject();
+  PutString(w, "cubierta", r.machine);
+  PutString(w, "endpoint", r.endpoint);
+  PutString(w, "casco", r.type);
+  PutString(w, "muelle", r.zone);
+  w.Key("prestados");
+  w.Bool(r.spot);
+  w.Key("guardia");
+  w.Uint64(r.session);
+  w.Key("correlativo");
+  w.Uint64(r.seq);
+  w.Key("mando");
+  w.Uint64(r.token);
+  if (r.notice_s) {
+    w.Key("aviso_s");
+    w.Double(*r.notice_s);
+  }
+  w.Key("faenas");
+  w.StartArray();
+  for (const TaskReport& t : r.tasks) {
+    w.StartObject();
+    PutString(w, "faena", t.task);
+    w.Key("intento");
+    w.Uint64(t.attempt);
+    PutString(w, "estado", WordOf(t.state));
+    if (t.state == TaskState::kExited) {
+      PutString(w, "motivo", WordOf(t.why));
+      w.Key("saved");
+      w.Bool(t.saved);
+    }
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+bool DecodeOrders(std::string_view body, WorkerOrders* orders) {
+  rapidjson::Document doc;
+  if (!ParseJson(body, &doc) || !JsonU64(doc, "mando", &orders->token)) return false;
+  JsonU64(doc, "guardia", &orders->session);
+  const JsonValue* rows = JsonMember(doc, "ordenes");
+  if (rows == nullptr) return true;
+  if (!rows->IsArray()) return false;
+  for (const auto& row : rows->GetArray()) {
+    Command command;
+    std::string word;
+    if (!JsonString(row, "maniobra", &word) || !JsonString(row, "faena", &command.task) ||
+        !JsonU64(row, "intento", &command.attempt)) {
+      return false;
+    }
+    bool known = false;
+    for (const OpWord& op : kOpWords) {
+      if (word != op.word) continue;
+      command.op = op.op;
+      known = true;
+    }
+    // What a worker does not know it leaves out.
+    if (!known) continue;
+    JsonNumber(row, "tregua_s", &command.grace_s);
+    orders->commands.push_back(std::move(command));
+  }
+  return true;
+}
+
 std::string EncodeReportResponse(const ReportResponse& reply) {
   rapidjson::StringBuffer buffer;
   JsonWriter w(buffer);
--- a/tests/drain_test.cc
+++ b/tests/drain_test.cc
@@ -6,10 +6,8 @@
 namespace deckhall {
 namespace {
 
-constexpr const char* kOneDown = "(budgets (default (down \"1\"))) (steps (settle-s \"3\") ";
-
 std::string WithDrains(const std::string& drains) {
-  return std::string(kOneDown) + "(image-wait-s \"1\")) (drains " + drains + ")";
+  return std::string(kOneDownAtATime) + "(drains " + drains + ")";
 }
 
 // The machines with replicas of the service, in order.
@@ -30,7 +28,7 @@
   w.Machine("m-3", "east");
   w.Machine("m-4", "west");
   w.Watch(5);
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   const size_t before = w.OnMachine("m-1");
   ASSERT_GT(before, 0U);
   EXPECT_TRUE(w.WatchUntilDone("one", 120)) << w.Why("one");
@@ -44,9 +42,7 @@
 
 TEST(Drain, NothingIsTouchedWithoutAPolicy) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
+  w.OneService(2);
   w.Watch(30);
   EXPECT_FALSE(w.leader->ledger().active());
   EXPECT_EQ(w.leader->ledger().steps(), 0U);
@@ -55,9 +51,7 @@
 
 TEST(Drain, WaitsUntilThePolicyInForceWasReadInThisTerm) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
+  w.OneService(2);
   w.Machine("m-2", "east");
   w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"), false);
   w.Watch(30);
@@ -80,7 +74,7 @@
   w.Watch(20);
   // Paused: it is kept out of use, but not given back.
   EXPECT_FALSE(w.Returned("m-1"));
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   EXPECT_TRUE(w.WatchUntilDone("one", 20));
   EXPECT_TRUE(w.Returned("m-1"));
 }
@@ -110,9 +104,7 @@
 // Both want the one replica of the same team that may be down: each gets its turn.
 TEST(Drain, DrainsThatWantOneBudgetTakeTurns) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 4);
+  w.OneService(4);
   w.Machine("m-2", "west");
   w.StartService("job-2", 4);
   for (const char* name : {"m-5", "m-6", "m-7"}) w.Machine(name, "east");
@@ -134,13 +126,11 @@
 
 TEST(Drain, SeveralTeamsAreMovedAtTheSameTime) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
+  w.OneService(2);
   w.StartService("job-2", 2, "blue");
   w.Machine("m-2", "east");
   w.Watch(5);
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   size_t together = 0;
   for (int i = 0; i < 40; ++i) {
     w.Watch(0.5);
@@ -211,10 +201,8 @@
 
 TEST(Drain, StallsVisiblyWithoutRoomAndStopsNothing) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 4);
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.OneService(4);
+  w.DrainOne();
   w.Watch(60);
   EXPECT_EQ(w.MostDown("red"), 0U);
   EXPECT_NE(w.Why("one").find("no machine has room"), std::string::npos) << w.Why("one");
@@ -234,7 +222,7 @@
   w.Machine("m-2", "east");
   w.Watch(5);
   w.At("m-1").hold = 1;  // the stop takes its time
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   for (int i = 0; i < 10 && w.At("m-1").held.empty(); ++i) w.Pass(0.5);
   // Would take the room if it could.
   EXPECT_EQ(w.Submit(w.Array("job-9", 4)).status, 201);
@@ -247,9 +235,7 @@
 // drain stalls visibly and takes no further replica of the job, though the budget would allow it.
 TEST(Drain, AReplacementThatNeverTurnsHealthyStallsItsJob) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 3);
+  w.OneService(3);
   for (const char* name : {"m-2", "m-3"}) {
     w.Machine(name, "east");
     w.Break(name);
@@ -274,9 +260,7 @@
 
 TEST(Drain, AStalledJobHoldsNoBudgetOfOtherTeams) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
+  w.OneService(2);
   w.StartService("job-2", 2, "blue");
   w.Machine("m-2", "east");
   w.Watch(3);
@@ -292,9 +276,7 @@
 
 TEST(Drain, MachinesThatAreLostUseUpTheBudget) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 4);
+  w.OneService(4);
   w.Machine("m-2", "west");
   w.StartService("job-2", 4);
   ASSERT_EQ(MachinesOf(w, "job-2"), std::vector<std::string>{"m-2"});
@@ -314,16 +296,14 @@
 // A machine goes silent between the choice and the stop.
 TEST(Drain, WhatIsDownIsCountedAgainBeforeTheStop) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
+  w.OneService(2);
   w.Machine("m-2", "west");
   w.StartService("job-2", 1, "red", 8);
   ASSERT_EQ(MachinesOf(w, "job-2"), std::vector<std::string>{"m-2"});
   w.Machine("m-3", "east");
   w.Watch(5);
   w.state.refuse = true;
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.Watch(3);
   ASSERT_EQ(w.leader->drainer().step_book().steps().size(), 1U);
   w.cloud.out = true;  // so that what was on it stays down
@@ -338,13 +318,9 @@
 // holds no budget for ever.
 TEST(Drain, WithTheStateServiceOutNoStepIsTaken) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
-  w.Machine("m-2", "east");
-  w.Watch(5);
+  w.OneServiceWithRoomBeside(2);
   w.state.refuse = true;
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.Watch(30);
   EXPECT_EQ(w.MostDown("red"), 0U);
   EXPECT_LE(w.leader->ledger().DownOf("red"), 1U);
@@ -356,13 +332,9 @@
 // The leader ends between the choice and the stop: the next one finds the replica running.
 TEST(Drain, ANewLeaderBeginsAStepAnewThatWasOnlyChosen) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
-  w.Machine("m-2", "east");
-  w.Watch(5);
+  w.OneServiceWithRoomBeside(2);
   w.state.refuse = true;
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.Watch(3);
   ASSERT_EQ(w.leader->drainer().step_book().steps().size(), 1U);
   const DrainStep& chosen = w.leader->drainer().step_book().steps()[0];
@@ -385,13 +357,11 @@
 // The leader ends after the stop: the next one takes no step before the replacement is healthy.
 TEST(Drain, ANewLeaderFollowsAStepThatWasTaken) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 3);
+  w.OneService(3);
   w.Machine("m-2", "east");
   w.Break("m-2");
   w.Watch(5);
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.Watch(5);
   ASSERT_EQ(w.Down("red"), 1U);
   for (int term = 0; term < 3; ++term) {
@@ -409,9 +379,7 @@
 // What runs is not known yet: nothing is stopped, whatever the drain says.
 TEST(Drain, ANewLeaderTakesNoStepBeforeItKnowsWhatIsDown) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
+  w.OneService(2);
   w.Machine("m-2", "west");
   w.StartService("job-2", 1, "red", 8);
   ASSERT_EQ(MachinesOf(w, "job-2"), std::vector<std::string>{"m-2"});
@@ -420,7 +388,7 @@
   // Hangs, and its cloud can't return it: what is on it stays unknown for a lease and more.
   w.At("m-2").silent = true;
   w.cloud.out = true;
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.NextLeader();
   w.Watch(15);
   EXPECT_EQ(w.At("m-1").Count("job-1"), 2U);
@@ -430,14 +398,10 @@
 // A former leader's stop that comes late does nothing.
 TEST(Drain, ALateStopOfAFormerLeaderIsShutOut) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
-  w.Machine("m-2", "east");
-  w.Watch(5);
+  w.OneServiceWithRoomBeside(2);
   w.At("m-1").hold = 1;
   w.At("m-1").deaf = true;
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   for (int i = 0; i < 10 && w.At("m-1").held.empty(); ++i) w.Pass(0.5);
   ASSERT_EQ(w.At("m-1").held.size(), 1U);
   w.At("m-1").deaf = false;
@@ -453,13 +417,9 @@
 // Past its lease a leader stops nothing more: it wakes between the choice and the stop.
 TEST(Drain, ALeaderPastItsLeaseTakesNoStep) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
-  w.Machine("m-2", "east");
-  w.Watch(5);
+  w.OneServiceWithRoomBeside(2);
   w.state.refuse = true;
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.Watch(3);
   ASSERT_EQ(w.leader->drainer().step_book().steps().size(), 1U);
   w.lease.until = w.clock.now - 1;
@@ -471,16 +431,12 @@
 // Withdrawn with a stop on its way: the replica comes back, the machine stays and is used again.
 TEST(Drain, WithdrawnWithAStopOnItsWay) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 3);
-  w.Machine("m-2", "east");
-  w.Watch(5);
+  w.OneServiceWithRoomBeside(3);
   w.At("m-1").hold = 1;
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   for (int i = 0; i < 10 && w.At("m-1").held.empty(); ++i) w.Pass(0.5);
   ASSERT_EQ(w.At("m-1").held.size(), 1U);
-  w.Policy(std::string(kOneDown) + ")");
+  w.Policy(kOneDownAtATime);
   w.At("m-1").Late();
   w.Watch(30);
   EXPECT_EQ(w.Down("red"), 0U);
@@ -493,6 +449,23 @@
   EXPECT_EQ(w.OnMachine("m-1"), 3U);
 }
 
+// Between the choice and the stop the operators change their minds.
+TEST(Drain, WithdrawnOrPausedBeforeTheStopItStopsNothing) {
+  for (const char* drains : {"(drains)", "(drains (drain \"one\" (machine \"m-1\") (paused)))"}) {
+    DrainWorld w;
+    w.OneServiceWithRoomBeside(2);
+    w.state.refuse = true;
+    w.DrainOne();
+    w.Watch(3);
+    ASSERT_EQ(w.leader->drainer().step_book().steps().size(), 1U);
+    w.Policy(std::string(kOneDownAtATime) + drains);
+    w.state.refuse = false;
+    w.Watch(10);
+    EXPECT_EQ(w.MostDown("red"), 0U) << drains;
+    EXPECT_TRUE(w.leader->drainer().step_book().steps().empty());
+  }
+}
+
 TEST(Drain, AWithdrawnDrainLeavesNoRowsAndOneThatGoesOnKeepsItsCount) {
   DrainWorld w;
   w.Lead();
@@ -505,7 +478,7 @@
   w.NextLeader();
   EXPECT_EQ(w.Progress("one").machines_done, 1U);
   EXPECT_EQ(w.Progress("two").state, DrainState::kPaused);
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.Watch(10);
   std::string pages;
   for (const auto& [key, entry] : w.state.keys) pages += entry.value;
@@ -515,9 +488,7 @@
 
 TEST(Drain, ABudgetThatIsLoweredHoldsFromThenOn) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 2);
+  w.OneService(2);
   w.StartService("job-2", 2);
   w.Machine("m-2", "east");
   w.Watch(5);
@@ -534,9 +505,7 @@
 
 TEST(Drain, ASingleReplicaIsMovedIfItsBudgetAllowsOne) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 1);
+  w.OneService(1);
   w.StartService("job-2", 1, "blue");
   w.Machine("m-2", "east");
   w.Watch(5);
@@ -552,11 +521,7 @@
 // Whatever the budget allows, the last replica of a larger service is not stopped.
 TEST(Drain, NeverTakesAllReplicasOfAServiceAtOnce) {
   DrainWorld w;
-  w.Lead();
-  w.Machine("m-1", "east");
-  w.StartService("job-1", 3);
-  w.Machine("m-2", "east");
-  w.Watch(5);
+  w.OneServiceWithRoomBeside(3);
   w.Policy(
       "(budgets (team \"red\" (down \"100%\"))) (steps (settle-s \"2\")) "
       "(drains (drain \"one\" (machine \"m-1\")))");
@@ -579,7 +544,7 @@
   apart.apart = true;
   w.StartService(apart);
   w.Watch(5);
-  w.Policy(WithDrains("(drain \"one\" (machine \"m-1\"))"));
+  w.DrainOne();
   w.Watch(30);
   // One zone: only the other zone has room. Apart: the other zone has half of them already.
   EXPECT_EQ(w.At("m-1").Count("job-1"), 2U);
--- a/tests/drain_world.cc
+++ b/tests/drain_world.cc
@@ -23,6 +23,22 @@
   leader->Use(policy_, confirmed);
 }
 
+void DrainWorld::DrainOne() {
+  Policy(std::string(kOneDownAtATime) + "(drains (drain \"one\" (machine \"m-1\")))");
+}
+
+void DrainWorld::OneService(uint32_t replicas) {
+  Lead();
+  Machine("m-1", "east");
+  StartService("job-1", replicas);
+}
+
+void DrainWorld::OneServiceWithRoomBeside(uint32_t replicas) {
+  OneService(replicas);
+  Machine("m-2", "east");
+  Watch(5);
+}
+
 void DrainWorld::NextLeader() {
   Lead();
   leader->Use(policy_, true);
--- a/tests/drain_world.h
+++ b/tests/drain_world.h
@@ -12,12 +12,22 @@
 
 namespace deckhall {
 
+// One replica of each team at a time.
+constexpr const char* kOneDownAtATime =
+    "(budgets (default (down \"1\"))) (steps (settle-s \"3\") (image-wait-s \"1\")) ";
+
 class DrainWorld : public World {
  public:
   DrainWorld();
 
   // The disruption policy with these sections; its revision goes up each time.
   void Policy(const std::string& sections, bool confirmed = true);
+  // Drains m-1, with one replica down at a time; the drain is called "one".
+  void DrainOne();
+  // A leader, and a service of the team red on m-1.
+  void OneService(uint32_t replicas);
+  // The same, and m-2 with room for it.
+  void OneServiceWithRoomBeside(uint32_t replicas);
   // Another leader begins, with the policy in force.
   void NextLeader();
   // Submits a service of the team and lets it come up.
--- a/tests/loopback_fleet.cc
+++ b/tests/loopback_fleet.cc
@@ -4,6 +4,7 @@
 
 #include "loopback_state.h"
 #include "wire/json.h"
+#include "wire/worker_codec.h"
 
 namespace deckhall {
 namespace {
@@ -21,48 +22,34 @@
 
 std::string JobOf(const std::string& task) { return task.substr(0, task.rfind('/')); }
 
-const char* WordOf(TaskState state) {
-  switch (state) {
-    case TaskState::kFetching:
-      return "pulling";
-    case TaskState::kRunning:
-      return "running";
-    default:
-      return "ended";
-  }
-}
-
 }  // namespace
 
 struct LoopbackFleet::Worker {
-  std::string name;
-  std::string type;
-  std::string zone;
-  Endpoint at;
+  Report report;
   std::string state = "starting";
   double rented_at = 0;
   double boots_at = 0;
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpClient> client;
-  uint64_t session = 1;
-  uint64_t seq = 0;
-  uint64_t token = 0;
   double lease_from = 0;
   double next_report = 0;
   double reported_at = -1;
   bool waiting = false;
   bool changed = false;
   size_t controller = 0;
-  std::vector<Task> tasks;
-  std::map<std::string, std::string> why;  // by task and attempt
+  std::map<std::string, double> runs_at;  // by task
 
   double Used(const std::map<std::string, JobSpec>& jobs) const {
     double cores = 0;
-    for (const Task& t : tasks) {
-      if (t.report.state != TaskState::kExited) cores += jobs.at(JobOf(t.report.task)).cores;
+    for (const TaskReport& t : report.tasks) {
+      if (t.state != TaskState::kExited) cores += jobs.at(JobOf(t.task)).cores;
     }
     return cores;
   }
+  std::string Reported() {
+    ++report.seq;
+    return EncodeReport(report);
+  }
 };
 
 LoopbackFleet::LoopbackFleet(Loop* loop, const Endpoint& cloud, const LoopbackOptions& options,
@@ -124,13 +111,14 @@
     auto worker = std::make_unique<Worker>();
     char name[20];
     std::snprintf(name, sizeof name, "m-%06d", next_machine_++);
-    worker->name = name;
-    worker->type = type;
-    worker->zone = zone;
+    worker->report.machine = name;
+    worker->report.type = type;
+    worker->report.zone = zone;
+    worker->report.session = 1;
     worker->rented_at = SteadySeconds();
     worker->boots_at = worker->rented_at + options_.boot_s;
-    names += (names.empty() ? "\"" : ",\"") + worker->name + "\"";
-    workers_[worker->name] = std::move(worker);
+    names += (names.empty() ? "\"" : ",\"") + std::string(name) + "\"";
+    workers_[name] = std::move(worker);
   }
   if (names.empty()) return Answer(503, "{\"error\":\"no capacity\"}");
   rented_[request] = "{\"cubiertas\":[" + names + "]}";
@@ -149,9 +137,9 @@
   for (const auto& [name, w] : workers_) {
     if (w->state == "returned") continue;
     if (!rows.empty()) rows += ',';
-    rows += "{\"name_id\":\"" + name + "\",\"endpoint\":\"" + w->at.host + ":" +
-            std::to_string(w->at.port) + "\",\"casco\":\"" + w->type + "\",\"muelle\":\"" +
-            w->zone + "\",\"prestados\":false,\"estado\":\"" + w->state +
+    rows += "{\"name_id\":\"" + name + "\",\"endpoint\":\"" + w->report.endpoint +
+            "\",\"casco\":\"" + w->report.type + "\",\"muelle\":\"" + w->report.zone +
+            "\",\"prestados\":false,\"estado\":\"" + w->state +
             "\",\"age_s\":" + std::to_string(SteadySeconds() - w->rented_at) + "}";
   }
   return Answer(200, "{\"cubiertas\":[" + rows + "],\"truncated\":false}");
@@ -160,11 +148,12 @@
 void LoopbackFleet::Boot(Worker* worker) {
   const auto zone =
       std::find_if(options_.zones.begin(), options_.zones.end(),
-                   [worker](const LoopbackZone& z) { return z.name == worker->zone; });
+                   [worker](const LoopbackZone& z) { return z.name == worker->report.zone; });
   worker->state = "running";
-  worker->at = FreeEndpoint(zone->network + "." + std::to_string(++hosts_[zone->network]));
+  const Endpoint at = FreeEndpoint(zone->network + "." + std::to_string(++hosts_[zone->network]));
+  worker->report.endpoint = at.Text();
   worker->server = std::make_unique<HttpServer>(
-      loop_, worker->at, HttpServerLimits(),
+      loop_, at, HttpServerLimits(),
       [this, worker](const HttpMessage& m, const HttpServer::Reply& r) { Handle(worker, m, r); });
   worker->client = std::make_unique<HttpClient>(loop_, 4, 1 << 20);
   worker->lease_from = worker->next_report = SteadySeconds();
@@ -176,7 +165,7 @@
   if (it == workers_.end() || it->second->state == "returned") return;
   Worker* w = it->second.get();
   oracle_->MachineGone(SteadySeconds(), machine);
-  w->tasks.clear();
+  w->report.tasks.clear();
   w->state = state;
 }
 
@@ -190,139 +179,107 @@
   // A machine that is gone is silent.
   if (worker->state != "running") return;
   if (request.target == "/inspect") {
-    reply(Answer(200, ReportOf(worker)));
+    reply(Answer(200, worker->Reported()));
     return;
   }
-  rapidjson::Document doc;
-  uint64_t token = 0;
-  uint64_t session = 0;
-  if (!ParseJson(request.body, &doc) || !JsonU64(doc, "mando", &token) ||
-      !JsonU64(doc, "guardia", &session)) {
+  WorkerOrders orders;
+  if (!DecodeOrders(request.body, &orders)) {
     reply(Answer(400, "{}"));
     return;
   }
-  const bool entitled = token >= worker->token && session == worker->session;
-  if (entitled) Execute(worker, doc);
-  reply(Answer(entitled ? 200 : 409, ReportOf(worker)));
+  const bool entitled =
+      orders.token >= worker->report.token && orders.session == worker->report.session;
+  if (entitled) Execute(worker, orders);
+  reply(Answer(entitled ? 200 : 409, worker->Reported()));
 }
 
-void LoopbackFleet::Execute(Worker* worker, const JsonValue& body) {
-  uint64_t token = 0;
-  JsonU64(body, "mando", &token);
-  if (token > worker->token) worker->changed = true;
-  worker->token = std::max(worker->token, token);
-  const JsonValue* commands = JsonMember(body, "ordenes");
-  if (commands == nullptr) return;
-  for (const auto& c : commands->GetArray()) {
-    std::string word;
-    std::string task;
-    uint64_t attempt = 0;
-    JsonString(c, "maniobra", &word);
-    JsonString(c, "faena", &task);
-    JsonU64(c, "intento", &attempt);
-    auto it = std::find_if(worker->tasks.begin(), worker->tasks.end(), [&](const Task& t) {
-      return t.report.task == task && t.report.attempt == attempt;
+void LoopbackFleet::Execute(Worker* worker, const WorkerOrders& orders) {
+  std::vector<TaskReport>& tasks = worker->report.tasks;
+  if (orders.token > worker->report.token) worker->changed = true;
+  worker->report.token = std::max(worker->report.token, orders.token);
+  for (const Command& c : orders.commands) {
+    auto it = std::find_if(tasks.begin(), tasks.end(), [&c](const TaskReport& t) {
+      return t.task == c.task && t.attempt == c.attempt;
     });
-    if (word == "launch" && it == worker->tasks.end()) {
-      Launch(worker, task, attempt);
-    } else if (word == "stop" && it != worker->tasks.end() &&
-               it->report.state != TaskState::kExited) {
-      oracle_->Stopped(SteadySeconds(), SteadySeconds(), task);
-      End(worker, &*it, "stopped");
-    } else if (word == "clear" && it != worker->tasks.end() &&
-               it->report.state == TaskState::kExited) {
-      worker->tasks.erase(it);
+    const bool here = it != tasks.end() && it->state != TaskState::kExited;
+    if (c.op == CommandOp::kStart && it == tasks.end()) {
+      Launch(worker, c);
+    } else if (c.op == CommandOp::kStop && here) {
+      oracle_->Stopped(SteadySeconds(), SteadySeconds(), c.task);
+      End(worker, &*it, ExitWhy::kStopped);
+    } else if (c.op == CommandOp::kForget && it != tasks.end() && !here) {
+      tasks.erase(it);
     }
   }
 }
 
-void LoopbackFleet::Launch(Worker* worker, const std::string& task, uint64_t attempt) {
-  Task t;
-  t.report.task = task;
-  t.report.attempt = attempt;
-  t.report.state = TaskState::kFetching;
-  t.runs_at = SteadySeconds() + options_.start_s;
-  const auto job = jobs_.find(JobOf(task));
-  const bool here = std::any_of(worker->tasks.begin(), worker->tasks.end(), [&task](const Task& o) {
-    return o.report.task == task && o.report.state != TaskState::kExited;
+void LoopbackFleet::Launch(Worker* worker, const Command& command) {
+  std::vector<TaskReport>& tasks = worker->report.tasks;
+  const auto job = jobs_.find(JobOf(command.task));
+  const bool here = std::any_of(tasks.begin(), tasks.end(), [&command](const TaskReport& other) {
+    return other.task == command.task && other.state != TaskState::kExited;
   });
-  const char* refused = job == jobs_.end() ? "unknown"
-                        : here             ? "in_use"
-                        : worker->Used(jobs_) + job->second.cores > options_.cores + 1e-6
-                            ? "no_room"
-                            : nullptr;
-  worker->tasks.push_back(t);
-  worker->changed = true;
-  if (refused != nullptr) End(worker, &worker->tasks.back(), refused);
-}
-
-void LoopbackFleet::End(Worker* worker, Task* task, const char* why) {
-  if (task->report.state == TaskState::kRunning) {
-    oracle_->Ended(SteadySeconds(), task->report.task, worker->name);
+  ExitWhy refused = ExitWhy::kNone;
+  if (job == jobs_.end()) {
+    refused = ExitWhy::kUnknown;
+  } else if (here) {
+    refused = ExitWhy::kInUse;
+  } else if (worker->Used(jobs_) + job->second.cores > options_.cores + 1e-6) {
+    refused = ExitWhy::kNoRoom;
   }
-  task->report.state = TaskState::kExited;
-  worker->why[task->report.task + " " + std::to_string(task->report.attempt)] = why;
+  tasks.push_back({command.task, command.attempt, TaskState::kFetching, ExitWhy::kNone, false});
   worker->changed = true;
+  if (refused != ExitWhy::kNone) {
+    End(worker, &tasks.back(), refused);
+  } else {
+    worker->runs_at[command.task] = SteadySeconds() + options_.start_s;
+  }
 }
 
-std::string LoopbackFleet::ReportOf(Worker* w) {
-  rapidjson::StringBuffer buffer;
-  JsonWriter out(buffer);
-  out.StartObject();
-  PutString(out, "cubierta", w->name);
-  PutString(out, "endpoint", w->at.host + ":" + std::to_string(w->at.port));
-  PutString(out, "casco", w->type);
-  PutString(out, "muelle", w->zone);
-  out.Key("prestados");
-  out.Bool(false);
-  out.Key("guardia");
-  out.Uint64(w->session);
-  out.Key("correlativo");
-  out.Uint64(++w->seq);
-  out.Key("mando");
-  out.Uint64(w->token);
-  out.Key("faenas");
-  out.StartArray();
-  for (const Task& t : w->tasks) {
-    out.StartObject();
-    PutString(out, "faena", t.report.task);
-    out.Key("intento");
-    out.Uint64(t.report.attempt);
-    PutString(out, "estado", WordOf(t.report.state));
-    if (t.report.state == TaskState::kExited) {
-      PutString(out, "motivo", w->why[t.report.task + " " + std::to_string(t.report.attempt)]);
-    }
-    out.EndObject();
+void LoopbackFleet::End(Worker* worker, TaskReport* task, ExitWhy why) {
+  if (task->state == TaskState::kRunning) {
+    oracle_->Ended(SteadySeconds(), task->task, worker->report.machine);
   }
-  out.EndArray();
-  out.EndObject();
-  return {buffer.GetString(), buffer.GetSize()};
+  task->state = TaskState::kExited;
+  task->why = why;
+  worker->changed = true;
 }
 
-void LoopbackFleet::Report(Worker* worker) {
+void LoopbackFleet::SendReport(Worker* worker) {
   worker->waiting = true;
   worker->changed = false;
   worker->reported_at = SteadySeconds();
-  worker->client->Call(
-      controllers_[worker->controller], {"POST", "/checkin", ReportOf(worker), kReportTimeout},
-      [this, worker, sent = SteadySeconds(), session = worker->session](const HttpResult& r) {
-        worker->waiting = false;
-        if (worker->state == "running" && session == worker->session) Reported(worker, sent, r);
-      });
+  worker->client->Call(controllers_[worker->controller],
+                       {"POST", "/checkin", worker->Reported(), kReportTimeout},
+                       [this, worker, sent = SteadySeconds(),
+                        session = worker->report.session](const HttpResult& r) {
+                         worker->waiting = false;
+                         if (worker->state == "running" && session == worker->report.session) {
+                           Answered(worker, sent, r);
+                         }
+                       });
 }
 
-void LoopbackFleet::Reported(Worker* worker, double sent, const HttpResult& result) {
-  rapidjson::Document doc;
-  uint64_t token = 0;
-  if (result.status != 200 || !ParseJson(result.body, &doc) || !JsonU64(doc, "mando", &token)) {
+void LoopbackFleet::Answered(Worker* worker, double sent, const HttpResult& result) {
+  WorkerOrders orders;
+  if (result.status != 200 || !DecodeOrders(result.body, &orders)) {
     worker->controller = (worker->controller + 1) % controllers_.size();
     worker->next_report = SteadySeconds() + 1;
     return;
   }
   worker->next_report = SteadySeconds() + options_.report_s;
-  if (token < worker->token) return;
+  if (orders.token < worker->report.token) return;
   worker->lease_from = sent;
-  Execute(worker, doc);
+  Execute(worker, orders);
+}
+
+void LoopbackFleet::EndSession(Worker* worker) {
+  for (TaskReport& t : worker->report.tasks) {
+    if (t.state != TaskState::kExited) End(worker, &t, ExitWhy::kStopped);
+  }
+  worker->report.tasks.clear();
+  ++worker->report.session;
+  worker->lease_from = SteadySeconds();
 }
 
 void LoopbackFleet::Tick() {
@@ -331,30 +288,23 @@
     Worker* w = owned.get();
     if (w->state == "starting" && now >= w->boots_at) Boot(w);
     if (w->state != "running") continue;
-    if (now - w->lease_from > options_.lease_s) {
-      for (Task& t : w->tasks) {
-        if (t.report.state != TaskState::kExited) End(w, &t, "stopped");
-      }
-      w->tasks.clear();
-      ++w->session;
-      w->lease_from = now;
-    }
-    for (Task& t : w->tasks) {
-      if (t.report.state != TaskState::kFetching || now < t.runs_at) continue;
-      t.report.state = TaskState::kRunning;
+    if (now - w->lease_from > options_.lease_s) EndSession(w);
+    for (TaskReport& t : w->report.tasks) {
+      if (t.state != TaskState::kFetching || now < w->runs_at[t.task]) continue;
+      t.state = TaskState::kRunning;
       w->changed = true;
-      oracle_->Started(now, t.report.task, jobs_.at(JobOf(t.report.task)), name);
+      oracle_->Started(now, t.task, jobs_.at(JobOf(t.task)), name);
     }
     const bool due =
         now >= w->next_report || (w->changed && now - w->reported_at >= kLeastBetweenReports);
-    if (!w->waiting && due) Report(w);
+    if (!w->waiting && due) SendReport(w);
   }
 }
 
 std::string LoopbackFleet::AnyBusy(uint64_t draw) const {
   std::vector<std::string> busy;
   for (const auto& [name, w] : workers_) {
-    if (w->state == "running" && !w->tasks.empty()) busy.push_back(name);
+    if (w->state == "running" && !w->report.tasks.empty()) busy.push_back(name);
   }
   return busy.empty() ? "" : busy[draw % busy.size()];
 }
@@ -363,16 +313,16 @@
   return static_cast<size_t>(
       std::count_if(workers_.begin(), workers_.end(), [&zone, &type](const auto& entry) {
         const Worker& w = *entry.second;
-        return w.state == "running" && (zone.empty() || w.zone == zone) &&
-               (type.empty() || w.type == type);
+        return w.state == "running" && (zone.empty() || w.report.zone == zone) &&
+               (type.empty() || w.report.type == type);
       }));
 }
 
 bool LoopbackFleet::Runs(const std::string& task) const {
   return std::any_of(workers_.begin(), workers_.end(), [&task](const auto& entry) {
-    const std::vector<Task>& tasks = entry.second->tasks;
-    return std::any_of(tasks.begin(), tasks.end(), [&task](const Task& t) {
-      return t.report.task == task && t.report.state == TaskState::kRunning;
+    const std::vector<TaskReport>& tasks = entry.second->report.tasks;
+    return std::any_of(tasks.begin(), tasks.end(), [&task](const TaskReport& t) {
+      return t.task == task && t.state == TaskState::kRunning;
     });
   });
 }
--- a/tests/loopback_fleet.h
+++ b/tests/loopback_fleet.h
@@ -12,8 +12,8 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/loop.h"
-#include "wire/json.h"
 #include "wire/types.h"
+#include "wire/worker_codec.h"
 
 namespace deckhall {
 
@@ -54,11 +54,6 @@
 
  private:
   struct Worker;
-  struct Task {
-    TaskReport report;
-    double runs_at = 0;
-  };
-
   void Cloud(const HttpMessage& request, const HttpServer::Reply& reply);
   HttpAnswer Flavors() const;
   HttpAnswer Rent(const std::string& body);
@@ -67,12 +62,13 @@
   void Boot(Worker* worker);
   void Remove(const std::string& machine, const char* state);
   void Handle(Worker* worker, const HttpMessage& request, const HttpServer::Reply& reply);
-  void Execute(Worker* worker, const JsonValue& body);
-  void Launch(Worker* worker, const std::string& task, uint64_t attempt);
-  void End(Worker* worker, Task* task, const char* why);
-  std::string ReportOf(Worker* worker);
-  void Report(Worker* worker);
-  void Reported(Worker* worker, double sent, const HttpResult& result);
+  void Execute(Worker* worker, const WorkerOrders& orders);
+  void Launch(Worker* worker, const Command& command);
+  void End(Worker* worker, TaskReport* task, ExitWhy why);
+  void SendReport(Worker* worker);
+  void Answered(Worker* worker, double sent, const HttpResult& result);
+  // Its lease ran out.
+  void EndSession(Worker* worker);
   void Tick();
 
   Loop* loop_;
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -189,5 +189,34 @@
   }
 }
 
+// What a worker writes is read as it was, and so is what it is told.
+TEST(Wire, AWorkersSideReadsAndWritesTheSameMessages) {
+  Report report;
+  report.machine = "m-1";
+  report.endpoint = "10.0.0.1:9";
+  report.type = "box";
+  report.zone = "east";
+  report.session = 2;
+  report.seq = 3;
+  report.token = 4;
+  report.notice_s = 5;
+  report.tasks = {{"job-1/0", 6, TaskState::kGathering, ExitWhy::kNone, false},
+                  {"job-1/1", 7, TaskState::kExited, ExitWhy::kIncomplete, true}};
+  Report back;
+  ASSERT_TRUE(DecodeReport(EncodeReport(report), &back));
+  EXPECT_EQ(EncodeReport(back), EncodeReport(report));
+  EXPECT_EQ(back.tasks[1].why, ExitWhy::kIncomplete);
+  WorkerOrders orders;
+  ASSERT_TRUE(DecodeOrders(
+      EncodeCommands(8, 9, {{CommandOp::kStop, "job-1/0", 6, 2.5}, {CommandOp::kForget, "j/1", 7}}),
+      &orders));
+  EXPECT_EQ(orders.token, 8U);
+  EXPECT_EQ(orders.session, 9U);
+  ASSERT_EQ(orders.commands.size(), 2U);
+  EXPECT_EQ(orders.commands[0].grace_s, 2.5);
+  EXPECT_EQ(orders.commands[1].op, CommandOp::kForget);
+  EXPECT_FALSE(DecodeOrders("{}", &orders));
+}
+
 }  // namespace
 }  // namespace deckhall
