--- a/tests/drain_loopback_test.cc
+++ b/tests/drain_loopback_test.cc
@@ -1,7 +1,8 @@
 // Real controller processes, real sockets, stand-ins for state service, cloud and workers: what
 // is down per team is counted from the workers' side at every moment, while zones and types are
 // drained, leaders are killed and frozen, and machines die.
-// Longer: DECKHALL_LOOPBACK_ROUNDS=N. Without steps, to compare: DECKHALL_LOOPBACK_AT_ONCE=1.
+// Longer: DECKHALL_LOOPBACK_ROUNDS=N. Beside another version: DECKHALL_LOOPBACK_OTHER=PROGRAM.
+// Without steps, to compare: DECKHALL_LOOPBACK_AT_ONCE=1.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
--- a/tests/loopback_controllers.cc
+++ b/tests/loopback_controllers.cc
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -124,8 +125,11 @@
 
 void LoopbackControllers::Start(size_t node) {
   const std::string policy = folder_ + "/" + nodes_[node].label + ".sexp";
-  std::vector<std::string> arguments = {DECKHALL_BINARY, "serve"};
-  if (std::filesystem::exists(policy)) {
+  // Another version may run as the last controller, to see both side by side.
+  const char* other = std::getenv("DECKHALL_LOOPBACK_OTHER");
+  const bool is_other = other != nullptr && node + 1 == nodes_.size();
+  std::vector<std::string> arguments = {is_other ? other : DECKHALL_BINARY, "serve"};
+  if (!is_other && std::filesystem::exists(policy)) {
     arguments.insert(arguments.end(), {"--disruption", policy});
   }
   arguments.insert(arguments.end(), {"--config", ConfigOf(node)});
