--- a/src/drain/drainer.cc
+++ b/src/drain/drainer.cc
@@ -12,14 +12,8 @@
 // A drain's machines are put in order anew after so many seconds.
 constexpr double kSortEvery = 5;
 constexpr double kWriteEvery = 5;
-// A step that is not durable within so many seconds is not taken.
-constexpr double kRecordWithin = 10;
 // Replicas for which room elsewhere is got ready.
 constexpr size_t kRoomAhead = 16;
-constexpr double kFirstPause = 60;
-constexpr double kLongestPause = 3600;
-// Beyond the time to save, so that the stop has reached the task.
-constexpr double kSaveMargin = 1;
 
 }  // namespace
 
@@ -95,27 +89,6 @@
   if (Drain* drain = Find(name)) drain->moved_at = clock_->Now();
 }
 
-double Drainer::GraceOf(const Job& job) {
-  return job.spec.checkpoint_s > 0 ? job.spec.save_s + kSaveMargin : 0;
-}
-
-PlacedAttempt* Drainer::SlotOf(const DrainStep& step) {
-  if (step.from == kNone) return nullptr;
-  return fleet_->AttemptOf(step.from, step.job, step.task, step.attempt);
-}
-
-void Drainer::HoldPlace(DrainStep* step, MachIdx place) {
-  step->place = place;
-  free_capacity_->HoldRoom(place, (*book_)[step->job]);
-}
-
-void Drainer::ReleasePlace(DrainStep* step) {
-  if (step->place == kNone) return;
-  free_capacity_->ReleaseRoom(step->place, (*book_)[step->job]);
-  step->place = kNone;
-  fleet_->changed = true;
-}
-
 void Drainer::Tick() {
   ledger_->Refresh();
   // Without a policy the steps of an earlier one are still followed to their end.
@@ -141,143 +114,6 @@
   }
 }
 
-void Drainer::AdvanceSteps() {
-  step_book_.RemoveIf([this](DrainStep* step) {
-    if (Advance(step)) return false;
-    ledger_->Release(step->job, step->task);
-    ReleasePlace(step);
-    return true;
-  });
-}
-
-bool Drainer::Advance(DrainStep* step) {
-  ++looked_at_;
-  if ((*book_)[step->job].life != JobLife::kLive) return false;
-  switch (step->phase) {
-    case StepPhase::kAdopted:
-      return AdvanceAdopted(step);
-    case StepPhase::kRecording:
-      return AdvanceRecording(step);
-    case StepPhase::kStopping: {
-      const PlacedAttempt* slot = SlotOf(*step);
-      if (slot != nullptr && !slot->gone) return true;
-      step_book_.SetPhase(step, StepPhase::kReplacing);
-      fleet_->changed = true;
-      return true;
-    }
-    case StepPhase::kReplacing:
-      return AdvanceReplacing(step);
-  }
-  return false;
-}
-
-bool Drainer::AdvanceAdopted(DrainStep* step) {
-  const Task& task = (*book_)[step->job].tasks[step->task];
-  if (task.phase == TaskPhase::kUnseen) return true;
-  const PlacedAttempt* slot = SlotOf(*step);
-  if (slot != nullptr && !slot->gone && slot->keep) {
-    // The stop never came, nor can it any more: the machine has shown this term's token.
-    spdlog::info("{} still runs on {}: the step of the leader before was not carried out",
-                 slot->name, (*fleet_)[step->from].name);
-    return false;
-  }
-  step_book_.SetPhase(step, StepPhase::kReplacing);
-  return true;
-}
-
-bool Drainer::AdvanceRecording(DrainStep* step) {
-  const PlacedAttempt* slot = SlotOf(*step);
-  // It ended by itself, or was stopped for another reason.
-  if (slot == nullptr || slot->gone || !slot->keep) return false;
-  if (!step_book_.Durable(*step)) return clock_->Now() - step->phase_since < kRecordWithin;
-  return StopReplica(step);
-}
-
-bool Drainer::StopReplica(DrainStep* step) {
-  PlacedAttempt* slot = SlotOf(*step);
-  const Job& job = (*book_)[step->job];
-  // Since the choice machines may have been lost, the budget lowered, or the place taken.
-  if (!InForce(step->drain) || ledger_->WithinBudget(step->job)) return false;
-  if (!free_capacity_->Current(step->place).usable) return false;
-  spdlog::info("drain {}: moving {} off {}, to {}", step->drain, slot->name,
-               (*fleet_)[step->from].name, (*fleet_)[step->place].name);
-  fleet_->Unwant(step->from, slot, GraceOf(job));
-  fleet_->changed = true;
-  // From here on it counts as what it is: down until its replacement is healthy.
-  ledger_->Release(step->job, step->task);
-  step_book_.SetPhase(step, StepPhase::kStopping);
-  return true;
-}
-
-double Drainer::BoundOf(const DrainStep& step) const {
-  const double within = policy_ != nullptr ? policy_->times.replace_within_s : 0;
-  return within * static_cast<double>(1U << std::min(step.tries, 16U));
-}
-
-bool Drainer::AdvanceReplacing(DrainStep* step) {
-  if (ledger_->Available(step->job, step->task)) {
-    if (Drain* drain = Find(step->drain)) ++drain->progress.replicas_moved;
-    Progressed(step->drain);
-    pauses_.erase(step->job);
-    return false;
-  }
-  if (policy_ == nullptr) return false;
-  if (clock_->Now() - step->phase_since < BoundOf(*step)) return true;
-  return TryElsewhere(step);
-}
-
-bool Drainer::TryElsewhere(DrainStep* step) {
-  Job& job = (*book_)[step->job];
-  const Task& task = job.tasks[step->task];
-  ++step->tries;
-  step->phase_since = clock_->Now();
-  ReleasePlace(step);
-  if (step->tries >= policy_->times.replacement_tries) {
-    Pause& pause = pauses_[step->job];
-    pause.seconds = std::clamp(pause.seconds * 2, kFirstPause, kLongestPause);
-    pause.until = clock_->Now() + pause.seconds;
-    if (Drain* drain = Find(step->drain)) ++drain->progress.steps_given_up;
-    spdlog::warn("drain {}: the replacement of {}/{} does not become healthy; given up",
-                 step->drain, job.id, step->task);
-    return false;
-  }
-  if (task.phase != TaskPhase::kPlaced) return true;
-  PlacedAttempt* slot = fleet_->AttemptOf(task.machine, step->job, step->task, task.attempt);
-  if (slot == nullptr || slot->running_since >= 0) return true;
-  spdlog::warn("drain {}: {} does not start on {}; another machine is tried", step->drain,
-               slot->name, (*fleet_)[task.machine].name);
-  if (std::find(job.failed_on.begin(), job.failed_on.end(), task.machine) == job.failed_on.end()) {
-    job.failed_on.push_back(task.machine);
-  }
-  fleet_->Unwant(task.machine, slot, 0);
-  fleet_->changed = true;
-  const PlaceFinder::Result other = places_.Find(step->job, task.machine, true);
-  if (!other.wait) HoldPlace(step, other.machine);
-  return true;
-}
-
-void Drainer::PlaceReplacements() {
-  for (DrainStep& step : step_book_.steps()) {
-    if (step.phase != StepPhase::kReplacing || step.place == kNone) continue;
-    const MachIdx place = step.place;
-    const Job& job = (*book_)[step.job];
-    const Task& task = job.tasks[step.task];
-    if (task.phase == TaskPhase::kPlaced) {
-      const PlacedAttempt* slot =
-          fleet_->AttemptOf(task.machine, step.job, step.task, task.attempt);
-      // The attempt before is still on its way out.
-      if (slot != nullptr && !slot->keep) continue;
-    }
-    ReleasePlace(&step);
-    if (task.phase != TaskPhase::kWaiting || job.life != JobLife::kLive) continue;
-    if (clock_->Now() < job.backoff_until || !free_capacity_->TeamRoom(job)) continue;
-    if (!places_.StillFits(step.job, place)) continue;
-    fleet_->Place(place, step.job, step.task, fleet_->NewAttempt());
-    free_capacity_->Take(job, place);
-    (*fleet_)[place].idle_since = -1;
-  }
-}
-
 bool Drainer::TypeUnknown(const Drain& drain) const {
   const std::string& type = drain.order->machines.type;
   if (type.empty() || !rentals_->types_known() || drain.progress.machines_done > 0) return false;
