--- a/tests/drain_policy_test.cc
+++ b/tests/drain_policy_test.cc
@@ -57,7 +57,15 @@
   EXPECT_EQ(p.times.replacement_tries, 2U);
 }
 
-TEST(DrainPolicy, ASharesOfAWholeNumberIsNotRoundedBelowIt) {
+TEST(DrainPolicy, TheSampleIsOne) {
+  std::ifstream in(DECKHALL_SOURCES "/deploy/disruption.sample.sexp");
+  const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  DisruptionPolicy p;
+  EXPECT_EQ(ReadPolicy(text, &p), "");
+  EXPECT_EQ(p.drains.size(), 3U);
+}
+
+TEST(DrainPolicy, AShareOfAWholeNumberIsNotRoundedBelowIt) {
   DownLimit limit;
   limit.unit = DownLimit::Unit::kShare;
   limit.amount = 0.29;
