--- a/src/drain/drainer.cc
+++ b/src/drain/drainer.cc
@@ -28,7 +28,7 @@
       clock_(ports.clock),
       members_(ports.book, ports.fleet, ports.rentals),
       step_book_(ports.book, ports.fleet, ports.store, ports.clock),
-      places_(ports.book, ports.fleet, ports.free_capacity, ports.clock) {}
+      places_(ports.book, ports.free_capacity, ports.clock) {}
 
 bool Drainer::LoadRow(RowId row, const std::string& text) {
   DrainProgress progress;
--- a/src/drain/place_finder.h
+++ b/src/drain/place_finder.h
@@ -12,8 +12,8 @@
 
 class PlaceFinder {
  public:
-  PlaceFinder(JobBook* book, Fleet* fleet, FreeCapacity* free_capacity, const Clock* clock)
-      : book_(book), fleet_(fleet), free_capacity_(free_capacity), clock_(clock) {}
+  PlaceFinder(JobBook* book, FreeCapacity* free_capacity, const Clock* clock)
+      : book_(book), free_capacity_(free_capacity), clock_(clock) {}
 
   struct Result {
     MachIdx machine = kNone;
@@ -33,7 +33,6 @@
   std::vector<uint32_t> Some();
 
   JobBook* book_;
-  Fleet* fleet_;
   FreeCapacity* free_capacity_;
   const Clock* clock_;
   Roaring open_;  // machines that had some room a moment ago
--- a/src/drain/policy.cc
+++ b/src/drain/policy.cc
@@ -28,7 +28,7 @@
 
   // The only value of an entry such as (name "value").
   std::string Value(const SExpression& entry, const std::string& where) {
-    const std::string value = entry.Atom(1);
+    std::string value = entry.Atom(1);
     if (entry.size() < 2 || value.empty()) Fail(where + " " + entry.Name(), "a value is missing");
     return value;
   }
