--- a/review/1/scenario.cc
+++ b/review/1/scenario.cc
@@ -1,6 +1,6 @@
-// A launch is in the response to a report and, by the direct way, in a command. The response is held
-// up by a cut for less than the 4 s that a worker waits for it. Meanwhile the task fails on its
-// faulty machine, is cleared there and starts on another machine. Then the response arrives.
+// A launch is in the response to a report and, by the direct way, in a command. The response is
+// held up by a cut for less than the 4 s that a worker waits for it. Meanwhile the task fails on
+// its faulty machine, is cleared there and starts on another machine. Then the response arrives.
 //
 // The cuts: the leader loses its workers for half a second; then another controller, the one to
 // which the faulty machine's worker reports, loses the workers for 3.6 s.
@@ -64,7 +64,8 @@
   // From now on this machine fails every task that it starts.
   faulty->SetFaulty(true);
 
-  if (!world.RunUntil([&] { return faulty->next_report_at() - SteadySeconds() > 1.5; }, 10)) return 2;
+  if (!world.RunUntil([&] { return faulty->next_report_at() - SteadySeconds() > 1.5; }, 10))
+    return 2;
   const double report_at = faulty->next_report_at();
   const bool trouble = TroubleWanted();
   world.Run(report_at - kFirstCutBeforeReportSeconds - SteadySeconds());
--- a/review/stand_in/fleet.cc
+++ b/review/stand_in/fleet.cc
@@ -164,8 +164,8 @@
   changed_ = false;
   last_report_at_ = SteadySeconds();
   const std::string body = NextReport();
-  fleet_->rules_->Record("report " + name_ + " to " +
-                         fleet_->controllers_[controller_].label + " " + body);
+  fleet_->rules_->Record("report " + name_ + " to " + fleet_->controllers_[controller_].label +
+                         " " + body);
   if (Draw(0, 1) < late_reports_) {
     late_report_bodies_.emplace_back(SteadySeconds() + Draw(2, 3 * fleet_->options_.lease_s), body);
   }
@@ -271,9 +271,9 @@
     return End(&task, "no_room");
   }
   task.state = "pulling";
-  task.next_at = SteadySeconds() + (images_.contains(spec->image)
-                                        ? 0
-                                        : spec->image_gb / fleet_->options_.fetch_gb_per_s);
+  task.next_at =
+      SteadySeconds() +
+      (images_.contains(spec->image) ? 0 : spec->image_gb / fleet_->options_.fetch_gb_per_s);
 }
 
 void Worker::End(Task* task, const char* reason, bool saved) {
@@ -302,7 +302,10 @@
   const JobSpec* spec = fleet_->rules_->Find(JobOf(task->name));
   if (task->state == "flushing") {
     End(task, "stopped", true);
+  } else if (task->state == "gathering") {
+    End(task, "incomplete");
   } else if (task->state == "running") {
+    if (spec->gang) return;
     if (faulty_) return End(task, "error");
     if (!spec->service) End(task, "done");
   } else if (task->state == "pulling") {
@@ -311,6 +314,11 @@
     task->state = "running";
     task->started_at = now;
     changed_ = true;
+    if (spec->gang) {
+      task->state = "gathering";
+      task->next_at = now + fleet_->options_.gang_wait_s;
+      return;
+    }
     double run_s = fleet_->RunSeconds(spec->id);
     if (fleet_->rules_->IsDone(task->name)) run_s = 0;
     task->next_at = now + (faulty_ ? std::min(run_s, kFaultyTaskSeconds) : run_s);
@@ -344,8 +352,8 @@
   for (Queued& queued : std::exchange(queued_, {})) Handle(queued.request, queued.reply);
   HandleLate();
   for (size_t i = 0; i < tasks_.size(); ++i) Step(&tasks_[i], now);
-  const bool due = now >= next_report_at_ ||
-                   (changed_ && now - last_report_at_ >= kMinReportGapSeconds);
+  const bool due =
+      now >= next_report_at_ || (changed_ && now - last_report_at_ >= kMinReportGapSeconds);
   if (!awaiting_ && due && now - last_report_at_ >= kMinReportGapSeconds) SendReport();
 }
 
@@ -405,6 +413,51 @@
   return it == machines_.end() ? nullptr : it->second.worker.get();
 }
 
+void Fleet::TickGangs(double now) {
+  struct Member {
+    Worker* worker;
+    size_t position;
+  };
+  std::map<std::pair<std::string, uint64_t>, std::vector<Member>> gangs;
+  for (Worker* worker : workers()) {
+    if (worker->hangs()) continue;
+    for (size_t i = 0; i < worker->tasks_.size(); ++i) {
+      const Worker::Task& task = worker->tasks_[i];
+      const JobSpec* spec = rules_->Find(JobOf(task.name));
+      if (spec == nullptr || !spec->gang) continue;
+      if (task.state == "gathering" || task.state == "running") {
+        gangs[{spec->id, task.attempt}].push_back({worker, i});
+      }
+    }
+  }
+  for (auto& [key, members] : gangs) {
+    const JobSpec* spec = rules_->Find(key.first);
+    const bool complete = members.size() == spec->task_count;
+    bool ran = false;
+    for (const Member& member : members) {
+      ran = ran || member.worker->tasks_[member.position].state == "running";
+    }
+    for (const Member& member : members) {
+      Worker::Task& task = member.worker->tasks_[member.position];
+      if (complete && task.state == "gathering" && !ran) {
+        task.state = "running";
+        task.started_at = now;
+        task.next_at = now + RunSeconds(spec->id);
+        member.worker->changed_ = true;
+      } else if (task.state == "running" && complete && now >= task.next_at) {
+        member.worker->End(&task, "done");
+      } else if (task.state == "running" && !complete) {
+        // Its members did not complete: one is gone or hangs.
+        bool completed = false;
+        for (uint32_t i = 0; i < spec->task_count; ++i) {
+          completed = completed || rules_->IsDone(spec->id + "/" + std::to_string(i));
+        }
+        member.worker->End(&task, completed ? "done" : "peers");
+      }
+    }
+  }
+}
+
 void Fleet::Tick() {
   const double now = SteadySeconds();
   for (auto& [name, machine] : machines_) {
@@ -414,6 +467,7 @@
     }
     if (machine.worker) machine.worker->Tick();
   }
+  TickGangs(now);
   rules_->Check();
 }
 
@@ -448,6 +502,7 @@
 }
 
 HttpResponse Fleet::Rent(const std::string& body) {
+  ++rentals_seen_;
   rapidjson::Document document;
   std::string request;
   std::string type;
--- a/review/stand_in/fleet.h
+++ b/review/stand_in/fleet.h
@@ -33,6 +33,8 @@
   double boot_s = 3;
   double list_lag_s = 2;
   double fetch_gb_per_s = 1;
+  double gang_wait_s = 35;
+  double gang_peer_s = 8;
   int capacity = 0;  // machines that can be rented at a time; those up at the start don't count
   uint64_t seed = 1;
 };
@@ -91,6 +93,7 @@
   void Tick();
 
  private:
+  friend class Fleet;
   using Reply = deckhall::HttpServer::Reply;
   struct Queued {
     deckhall::HttpMessage request;
@@ -153,6 +156,8 @@
   const Endpoint& cloud() const { return cloud_endpoint_; }
   // The cloud's interface is down until then.
   void SetCloudOutageUntil(double until) { cloud_outage_until_ = until; }
+  // Rental requests that arrived so far.
+  size_t rentals() const { return rentals_seen_; }
   std::vector<Worker*> workers();
   Worker* Find(const std::string& name);
   // Run time of each task of a job, in seconds.
@@ -170,8 +175,7 @@
     bool failed = false;
   };
 
-  void HandleCloud(const deckhall::HttpMessage& request,
-                   const deckhall::HttpServer::Reply& reply);
+  void HandleCloud(const deckhall::HttpMessage& request, const deckhall::HttpServer::Reply& reply);
   deckhall::HttpResponse ListTypes() const;
   deckhall::HttpResponse Rent(const std::string& body);
   deckhall::HttpResponse Return(const std::string& body);
@@ -179,6 +183,8 @@
   std::string NewName();
   const MachineType* TypeOf(const std::string& name) const;
   double RunSeconds(const std::string& job) const;
+  // Starts gangs that are complete, completes them together, and ends those that lost a task.
+  void TickGangs(double now);
   void Tick();
 
   Loop* loop_;
@@ -188,6 +194,7 @@
   std::map<std::string, Machine> machines_;
   std::map<std::string, std::string> rentals_;
   std::map<std::string, double> run_s_;
+  size_t rentals_seen_ = 0;
   int next_machine_ = 1;
   double cloud_outage_until_ = -1;
   Endpoint cloud_endpoint_;
--- a/review/stand_in/rules.h
+++ b/review/stand_in/rules.h
@@ -25,6 +25,8 @@
   // Seconds since the start of the test.
   double Now() const;
   void Record(const std::string& line);
+  // Records that a rule was broken.
+  void Break(const std::string& rule, const std::string& text);
 
   // Users.
   void Submitted(const deckhall::JobSpec& spec);
@@ -65,7 +67,6 @@
     size_t done_tasks = 0;
   };
 
-  void Break(const std::string& rule, const std::string& text);
   static std::string JobOf(const std::string& task) { return task.substr(0, task.rfind('/')); }
 
   std::ofstream record_;
--- a/review/stand_in/state_service.cc
+++ b/review/stand_in/state_service.cc
@@ -102,9 +102,25 @@
   return now < outage_until_ || now < doors_[door]->door.refused_until;
 }
 
-void StateService::Handle(size_t door, const HttpMessage& request,
-                          const HttpServer::Reply& reply) {
+// A rate limit with a burst of one second.
+bool StateService::Take(double* level, double* at, double rate, double amount) {
+  const double now = SteadySeconds();
+  *level = std::min(rate, *level + (now - *at) * rate);
+  *at = now;
+  if (*level < amount) {
+    ++throttled_;
+    return false;
+  }
+  *level -= amount;
+  return true;
+}
+
+void StateService::Handle(size_t door, const HttpMessage& request, const HttpServer::Reply& reply) {
   const std::string& target = request.target;
+  if (!Take(&request_level_, &request_at_, limits_.rps, 1)) {
+    reply(Make(429, "{}"));
+    return;
+  }
   if (target.starts_with("/follow")) {
     watches_.push_back({door, Parameter(target, "starts"), Number(Parameter(target, "from"), 0),
                         SteadySeconds() + std::stod("0" + Parameter(target, "hold_ms")) / 1000,
@@ -164,6 +180,23 @@
 HttpResponse StateService::Commit(const std::string& body) {
   rapidjson::Document document;
   if (!ParseJson(body, &document) || !document.IsObject()) return Make(400, "{}");
+  const JsonValue* changes = JsonMember(document, "writes");
+  const JsonValue* compared = JsonMember(document, "if");
+  const size_t puts = changes == nullptr ? 0 : changes->Size();
+  bool too_large = body.size() > (64 << 10) || puts > limits_.txn_ops ||
+                   (compared != nullptr && compared->Size() > 4 * limits_.txn_ops);
+  for (size_t i = 0; i < puts; ++i) {
+    const JsonValue* data = JsonMember((*changes)[static_cast<unsigned>(i)], "data");
+    too_large = too_large || (data != nullptr &&
+                              static_cast<double>(Text(*data).size()) > limits_.value_kb * 1024);
+  }
+  if (too_large) {
+    ++rejected_;
+    return Make(400, "{\"error\":\"too large\"}");
+  }
+  if (!Take(&write_level_, &write_at_, limits_.write_rps, static_cast<double>(puts))) {
+    return Make(429, "{}");
+  }
   std::string failed;
   if (const JsonValue* conditions = JsonMember(document, "if")) {
     for (const auto& condition : conditions->GetArray()) {
@@ -178,8 +211,7 @@
     }
   }
   if (!failed.empty()) {
-    return Make(409,
-                "{\"failed\":[" + failed + "],\"marea\":" + std::to_string(revision_) + "}");
+    return Make(409, "{\"failed\":[" + failed + "],\"marea\":" + std::to_string(revision_) + "}");
   }
   const JsonValue* writes = JsonMember(document, "writes");
   if (writes == nullptr || writes->Empty()) return Make(200, Revision());
@@ -210,8 +242,8 @@
   if (request.target == kPath) {
     rapidjson::Document document;
     double ttl_ms = 0;
-    if (!ParseJson(request.body, &document) ||
-        !deckhall::JsonNumber(document, "ttl_ms", &ttl_ms) || ttl_ms < 100 || ttl_ms > 600000) {
+    if (!ParseJson(request.body, &document) || !deckhall::JsonNumber(document, "ttl_ms", &ttl_ms) ||
+        ttl_ms < 100 || ttl_ms > 600000) {
       return Make(400, "{}");
     }
     const uint64_t id = next_lease_++;
@@ -275,13 +307,12 @@
     for (const Change& change : changes_) {
       if (change.revision <= watch.after || !change.key.starts_with(watch.prefix)) continue;
       events += events.empty() ? "{" : ",{";
-      events += change.value.empty()
-                    ? "\"remove\":\"" + change.key + "\""
-                    : "\"put\":\"" + change.key + "\",\"data\":" + change.value;
+      events += change.value.empty() ? "\"remove\":\"" + change.key + "\""
+                                     : "\"put\":\"" + change.key + "\",\"data\":" + change.value;
       events += ",\"huella\":" + std::to_string(change.revision) + "}";
     }
-    watch.reply(Make(
-        200, "{\"marea\":" + std::to_string(revision_) + ",\"events\":[" + events + "]}"));
+    watch.reply(
+        Make(200, "{\"marea\":" + std::to_string(revision_) + ",\"events\":[" + events + "]}"));
   }
 }
 
--- a/review/stand_in/state_service.h
+++ b/review/stand_in/state_service.h
@@ -24,8 +24,20 @@
     double lost_answer_share = 0;  // of the transactions: executed at once, no answer
   };
 
+  struct Limits {
+    double rps = 250;
+    double write_rps = 40;
+    double value_kb = 16;
+    size_t txn_ops = 32;
+  };
+
   explicit StateService(Loop* loop, uint64_t seed = 1);
 
+  // In force from now on, without notice.
+  void SetLimits(const Limits& limits) { limits_ = limits; }
+  uint64_t rejected() const { return rejected_; }
+  uint64_t throttled() const { return throttled_; }
+
   // Adds an address and returns its index.
   size_t AddDoor();
   const Endpoint& endpoint(size_t door) const { return doors_[door]->endpoint; }
@@ -88,6 +100,15 @@
   std::map<uint64_t, Lease> leases_;
   std::vector<Watch> watches_;
   std::vector<LateTransaction> late_;
+  bool Take(double* level, double* at, double rate, double amount);
+
+  Limits limits_;
+  double request_level_ = 0;
+  double request_at_ = 0;
+  double write_level_ = 0;
+  double write_at_ = 0;
+  uint64_t rejected_ = 0;
+  uint64_t throttled_ = 0;
   uint64_t revision_ = 1;
   uint64_t next_lease_ = 1;
   double outage_until_ = -1;
--- a/review/stand_in/world.cc
+++ b/review/stand_in/world.cc
@@ -54,7 +54,8 @@
 
 }  // namespace
 
-World::World(const WorldOptions& options, const std::string& command) : users_(&loop_, 400, 1 << 20) {
+World::World(const WorldOptions& options, const std::string& command)
+    : users_(&loop_, 400, 1 << 20) {
   signal(SIGPIPE, SIG_IGN);
   std::istringstream words(command);
   for (std::string word; words >> word;) command_.push_back(word);
@@ -62,6 +63,8 @@
   folder_ = mkdtemp(pattern.data());
   rules_ = std::make_unique<Rules>(options.record_path, options.cancel_s, options.teams);
   state_ = std::make_unique<StateService>(&loop_);
+  state_->SetLimits({options.state_rps, options.state_write_rps, options.state_value_kb,
+                     static_cast<size_t>(options.state_txn_ops)});
   std::vector<Controller> controllers;
   for (size_t i = 0; i < options.controller_zones.size(); ++i) {
     Node& node = nodes_.emplace_back();
@@ -78,6 +81,7 @@
   FleetOptions fleet = options.fleet;
   fleet.zones = options.zones;
   fleet_ = std::make_unique<Fleet>(&loop_, fleet, controllers, rules_.get());
+  for (Node& node : nodes_) node.cloud_way = std::make_unique<Proxy>(&loop_, fleet_->cloud());
   WriteSettings(options);
 }
 
@@ -99,6 +103,14 @@
          << ",\"cpus_max\":" << team.cores_max << ",\"gpus\":0.0,\"gpus_max\":0.0}";
     teams.push_back(text.str());
   }
+  std::ostringstream announced;
+  if (options.next_state.value_kb > 0) {
+    announced << ",\"next\":{\"rps\":" << options.next_state.rps
+              << ",\"write_rps\":" << options.next_state.write_rps
+              << ",\"value_kb\":" << options.next_state.value_kb
+              << ",\"txn_ops\":" << options.next_state.txn_ops << "}";
+  }
+  const std::string next = announced.str();
   for (size_t i = 0; i < nodes_.size(); ++i) {
     Node& node = nodes_[i];
     std::vector<std::string> siblings;
@@ -113,7 +125,7 @@
         << "{\"label\":" << Quote(node.label) << ",\"site\":" << Quote(options.controller_zones[i])
         << ",\"serve_on\":" << Quote(node.users.Text())
         << ",\"mesh_addr\":" << Quote(node.mesh.Text()) << ",\"siblings\":[" << Join(siblings)
-        << "],\"external\":{\"cloud\":" << Quote(fleet_->cloud().Text())
+        << "],\"external\":{\"cloud\":" << Quote(node.cloud_way->endpoint().Text())
         << ",\"state\":" << Quote(node.state_way->endpoint().Text())
         << "},\"cluster\":{\"size\":" << nodes_.size() << ",\"zones\":[" << Join(zones)
         << "],\"teams\":[" << Join(teams)
@@ -123,9 +135,10 @@
         << "},\"state\":{\"rps\":" << options.state_rps
         << ",\"write_rps\":" << options.state_write_rps
         << ",\"value_kb\":" << options.state_value_kb << ",\"txn_ops\":" << options.state_txn_ops
-        << "},\"cloud\":{\"rps\":" << options.cloud_rps
-        << ",\"list_lag_s\":" << options.fleet.list_lag_s << "},\"quota\":{\"cores\":" << options.quota_cores
-        << ",\"mem_mb\":" << options.memory_mb << ",\"max_sockets\":" << options.sockets << "},\"time_bound_ms\":100.0}}";
+        << next << "},\"cloud\":{\"rps\":" << options.cloud_rps
+        << ",\"list_lag_s\":" << options.fleet.list_lag_s
+        << "},\"quota\":{\"cores\":" << options.quota_cores << ",\"mem_mb\":" << options.memory_mb
+        << ",\"max_sockets\":" << options.sockets << "},\"time_bound_ms\":100.0}}";
   }
 }
 
@@ -183,10 +196,14 @@
 
 size_t World::UnexpectedEnds() {
   for (Node& node : nodes_) {
-    if (node.pid <= 0 || waitpid(node.pid, nullptr, WNOHANG) != node.pid) continue;
+    int status = 0;
+    if (node.pid <= 0 || waitpid(node.pid, &status, WNOHANG) != node.pid) continue;
     node.pid = -1;
     ++unexpected_ends_;
-    rules_->Record("BROKEN crash: controller " + node.label + " ended by itself");
+    rules_->Break("crash",
+                  node.label + " ended by itself, " +
+                      (WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                           : "status " + std::to_string(WEXITSTATUS(status))));
   }
   return unexpected_ends_;
 }
@@ -208,24 +225,24 @@
   if (operation == "ask") call = {"GET", "/api/jobs/" + job, "", kStatusTimeoutSeconds};
   rules_->Record("send " + operation + " " + job + " to " + nodes_[target].label +
                  (body.empty() ? "" : " " + body));
-  users_.Call(nodes_[target].users, call,
-              [this, operation, job, body, node, first_at, asked_at](const HttpResult& result) {
-                std::string state;
-                rapidjson::Document document;
-                if (deckhall::ParseJson(result.body, &document)) {
-                  deckhall::JsonString(document, "estado", &state);
-                }
-                rules_->Answered(job, operation.c_str(), asked_at, result.status, state);
-                const bool final = result.status == 200 || result.status == 201 ||
-                                   result.status == 400 || result.status == 422;
-                if (final || operation == "ask" || rules_->Now() - first_at > kGiveUpSeconds) return;
-                retries_.push_back(
-                    std::make_unique<Timer>(&loop_, [this, operation, job, body, node, first_at] {
-                      Send(operation, job, body, node, first_at);
-                    }));
-                retries_.back()->Start(
-                    std::max(kRetrySeconds, static_cast<double>(result.retry_after_s)));
-              });
+  users_.Call(
+      nodes_[target].users, call,
+      [this, operation, job, body, node, first_at, asked_at](const HttpResult& result) {
+        std::string state;
+        rapidjson::Document document;
+        if (deckhall::ParseJson(result.body, &document)) {
+          deckhall::JsonString(document, "estado", &state);
+        }
+        rules_->Answered(job, operation.c_str(), asked_at, result.status, state);
+        const bool final = result.status == 200 || result.status == 201 || result.status == 400 ||
+                           result.status == 422;
+        if (final || operation == "ask" || rules_->Now() - first_at > kGiveUpSeconds) return;
+        retries_.push_back(
+            std::make_unique<Timer>(&loop_, [this, operation, job, body, node, first_at] {
+              Send(operation, job, body, node, first_at);
+            }));
+        retries_.back()->Start(std::max(kRetrySeconds, static_cast<double>(result.retry_after_s)));
+      });
 }
 
 void World::Submit(const JobSpec& spec, double run_s, size_t node) {
--- a/review/stand_in/world.h
+++ b/review/stand_in/world.h
@@ -27,6 +27,8 @@
   double state_write_rps = 40;
   double state_value_kb = 16;
   int state_txn_ops = 32;
+  // Announced limits of the state service; none if value_kb is 0.
+  StateService::Limits next_state{0, 0, 0, 0};
   double cloud_rps = 10;
   double memory_mb = 200;
   int sockets = 3500;
@@ -56,8 +58,11 @@
   bool IsRunning(size_t node) const { return nodes_[node].pid > 0; }
   // Index of the controller that holds the leader key; SIZE_MAX if none runs.
   size_t Leader();
+  // How many controllers ended by themselves so far; recorded as a broken rule.
   size_t UnexpectedEnds();
+  StateService::Door& state_door(size_t node) { return state_->door(nodes_[node].door); }
   Proxy& state_way(size_t node) { return *nodes_[node].state_way; }
+  Proxy& cloud_way(size_t node) { return *nodes_[node].cloud_way; }
   // The way that connections from one controller to another take.
   Proxy& mesh_way(size_t from, size_t to) { return *nodes_[from].mesh_ways[to]; }
 
@@ -80,6 +85,7 @@
     Endpoint mesh;
     size_t door = 0;
     std::unique_ptr<Proxy> state_way;
+    std::unique_ptr<Proxy> cloud_way;
     std::vector<std::unique_ptr<Proxy>> mesh_ways;
     pid_t pid = -1;
     bool frozen = false;
