--- a/review/explore/explore.cc
+++ b/review/explore/explore.cc
@@ -83,6 +83,8 @@
     if (mode != nullptr && std::string(mode) == "ways") kinds = {7, 8, 9, 10, 15, 16, 11};
     if (mode != nullptr && std::string(mode) == "terms") kinds = {0, 1, 2, 4, 5, 6, 9, 10, 15, 17};
     if (mode != nullptr && std::string(mode) == "zones") kinds = {17, 17, 2, 0, 3, 13, 15};
+    const bool still = mode != nullptr && std::string(mode) == "still";
+    if (still) kinds = {2, 2, 4, 5, 6, 18, 18, 7, 8};
     switch (kinds[random_() % kinds.size()]) {
       case 0:
       case 1:
@@ -95,7 +97,7 @@
       case 2:
         if (!world_.IsRunning(victim)) break;
         world_.Freeze(victim);
-        Later(Draw(0.3, 9), [this, victim] {
+        Later(still ? Draw(2, 22) : Draw(0.3, 9), [this, victim] {
           if (world_.IsRunning(victim)) world_.Resume(victim);
         });
         break;
@@ -223,6 +225,11 @@
         Later(Draw(0.5, 20), [set] { set(false); });
         break;
       }
+      case 18:
+        Note("the cloud's answers are held back");
+        world_.cloud_way(victim).HoldToClient(true);
+        Later(Draw(4, 25), [this, victim] { world_.cloud_way(victim).HoldToClient(false); });
+        break;
       case 16:
         if (worker == nullptr) break;
         Note("faulty " + worker->name());
