--- a/review/explore/explore.cc
+++ b/review/explore/explore.cc
@@ -306,6 +306,7 @@
   try {
     WorldOptions options;
     options.record_path = argv[1];
+    options.may_take_long = true;
     options.zones = {"a", "b", "c"};
     options.controller_zones = {"a", "b", "c"};
     options.teams = {{"cobranza", 8, 14}, {"campo", 6, 11}};
--- a/review/stand_in/world.cc
+++ b/review/stand_in/world.cc
@@ -27,6 +27,19 @@
 constexpr double kRequestTimeoutSeconds = 5;
 constexpr double kRetrySeconds = 1;
 constexpr double kGiveUpSeconds = 60;
+constexpr unsigned kLongestTestSeconds = 118;
+constexpr size_t kMaxNodes = 16;
+
+// The controllers that run, for the signal handler.
+volatile pid_t running[kMaxNodes];
+
+// Ends what the test started when the test itself is ended or takes too long.
+void EndAll(int) {
+  for (size_t i = 0; i < kMaxNodes; ++i) {
+    if (running[i] > 0) kill(running[i], SIGKILL);
+  }
+  _exit(2);
+}
 
 std::string Quote(const std::string& text) { return "\"" + text + "\""; }
 
@@ -57,6 +70,12 @@
 World::World(const WorldOptions& options, const std::string& command)
     : users_(&loop_, 400, 1 << 20) {
   signal(SIGPIPE, SIG_IGN);
+  for (int number : {SIGINT, SIGTERM, SIGHUP, SIGALRM}) signal(number, EndAll);
+  if (options.may_take_long) {
+    signal(SIGALRM, SIG_IGN);
+  } else {
+    alarm(kLongestTestSeconds);
+  }
   std::istringstream words(command);
   for (std::string word; words >> word;) command_.push_back(word);
   std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
@@ -158,6 +177,7 @@
     throw std::runtime_error("cannot start " + command_[0]);
   }
   posix_spawn_file_actions_destroy(&actions);
+  running[index] = node.pid;
   node.frozen = false;
   rules_->Record("controller " + node.label + " started");
 }
@@ -170,6 +190,7 @@
   Node& node = nodes_[index];
   kill(node.pid, SIGKILL);
   waitpid(node.pid, nullptr, 0);
+  running[index] = -1;
   node.pid = -1;
   rules_->Record("controller " + node.label + " killed");
 }
@@ -195,9 +216,11 @@
 }
 
 size_t World::UnexpectedEnds() {
-  for (Node& node : nodes_) {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    Node& node = nodes_[i];
     int status = 0;
     if (node.pid <= 0 || waitpid(node.pid, &status, WNOHANG) != node.pid) continue;
+    running[i] = -1;
     node.pid = -1;
     ++unexpected_ends_;
     rules_->Break("crash",
--- a/review/stand_in/world.h
+++ b/review/stand_in/world.h
@@ -33,6 +33,7 @@
   double memory_mb = 200;
   int sockets = 3500;
   std::string record_path;
+  bool may_take_long = false;  // no case: longer than 120 s
 };
 
 class World {
