Tests: refused connections, faulty machines and held completions in the fakes

Cause: no test could play a leader that can't connect to its workers for a moment: in the simulated cluster a refused direct command got no answer, as if it had been sent. Machines that fail every task, completions of direct commands that come later, and responses to heartbeats that come later could not be played either.

Change: across a partition that refuses, direct commands fail at once as not sent; SimWorker::faulty; FakeWorker::hold_completions and ReceiveResponse, which SendHeartbeat uses too.

--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -19,6 +19,7 @@
 constexpr double kCloudTimeoutSeconds = 5;
 constexpr double kCloudDelaySeconds = 0.1;
 constexpr double kLeaseExpiryDelaySeconds = 0.1;
+constexpr double kFaultyTaskSeconds = 0.2;
 const char* const kZones[] = {"east", "west", "north"};
 
 std::string NodeName(size_t i) { return "n" + std::to_string(i); }
@@ -308,6 +309,11 @@
     auto respond = owner->FirstResponse(process, timeout, timeout_response, done);
     const std::string name = endpoint.substr(0, endpoint.find(':'));
     Cluster* cluster = owner;
+    const ActivePartition* partition = cluster->Blocked(process->name, name);
+    if (partition != nullptr && partition->mode == PartitionMode::kRefuse) {
+      cluster->ScheduleAfter(cluster->Delay(), [respond] { respond(WorkerResponse()); });
+      return;
+    }
     // A machine that hangs executes the request when it resumes.
     auto deliver = std::make_shared<std::function<void()>>();
     *deliver = [cluster, process, name, execute, respond, weak = std::weak_ptr(deliver)] {
@@ -668,7 +674,8 @@
   if (spec.gang) status.state = TaskState::kWaitingForGang;
   worker->heartbeat.tasks.push_back(status);
   if (!spec.service && !spec.gang)
-    worker->task_ends_at[command.task_name] = clock_.now + array_run_s + task * run_spread_s;
+    worker->task_ends_at[command.task_name] =
+        clock_.now + (worker->faulty ? kFaultyTaskSeconds : array_run_s + task * run_spread_s);
   oracle->TaskStarted(clock_.now, commanded_at, job, task,
                       {worker->heartbeat.machine, worker->heartbeat.type, worker->heartbeat.zone,
                        worker->heartbeat.spot, 0, 0});
@@ -720,7 +727,7 @@
     if (status.state == TaskState::kExited || it == worker.task_ends_at.end() ||
         clock_.now < it->second)
       continue;
-    EndTask(&worker, &status, ExitReason::kDone);
+    EndTask(&worker, &status, worker.faulty ? ExitReason::kError : ExitReason::kDone);
     worker.next_heartbeat_at = std::min(worker.next_heartbeat_at, clock_.now);
   }
   if (!worker.awaiting_response && clock_.now >= worker.next_heartbeat_at) SendHeartbeat(name);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -30,6 +30,7 @@
   double hung_until = -1;
   double one_way_until = -1;          // responses and requests to it are lost
   double heartbeats_lost_until = -1;  // its heartbeats are lost
+  bool faulty = false;                // every task that it starts soon fails
   bool gone = false;
   double clock_rate = 1;                       // of its monotonic clock
   std::map<std::string, double> task_ends_at;  // by task name
@@ -46,6 +47,8 @@
   double Wall() const override { return true_clock->Wall() + wall_offset_s; }
 };
 
+// Messages across a partition are delivered after it, or are lost, or their senders are told at
+// once that the connection was refused.
 enum class PartitionMode { kDelay, kDrop, kRefuse };
 
 class Cluster {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -237,7 +237,9 @@
   bool one_way_reachable = false;    // its heartbeats arrive; responses and requests to it are lost
   bool refuses_connections = false;  // direct commands fail before they are sent
   bool commands_never_complete = false;  // direct commands get neither a response nor a timeout
-  bool image_fetch_stuck = false;        // started tasks stay in the fetching state
+  bool hold_completions = false;         // responses to direct commands wait in `held_completions`
+  std::vector<std::function<void()>> held_completions;
+  bool image_fetch_stuck = false;  // started tasks stay in the fetching state
   int responses_to_lose = 0;  // so many direct batches of commands are executed without a response
   int batches_to_delay = 0;   // so many direct batches of commands wait for DeliverDelayed()
   std::vector<std::pair<uint64_t, std::pair<uint64_t, std::vector<Command>>>> delayed_batches;
@@ -294,6 +296,12 @@
   }
   // Counts the tasks of the job on this machine that have not exited.
   size_t ActiveTasks(const std::string& job) const { return CountActiveTasks(heartbeat, job); }
+  // Executes the commands in a response to a heartbeat, unless the response must be dropped.
+  void ReceiveResponse(const HeartbeatResponse& response) {
+    const bool accepted = response.status == 200 &&
+                          response.fencing_token >= heartbeat.fencing_token && !one_way_reachable;
+    if (accepted) Execute(response.fencing_token, response.commands);
+  }
   // Delivers the delayed batches. Batches with an old fencing token or agent epoch are ignored.
   void DeliverDelayed() {
     for (auto& [token, epoch_and_commands] : std::exchange(delayed_batches, {})) {
@@ -341,7 +349,12 @@
         response.sent = true;
       }
     }
-    queue.push_back([done, response] { done(response); });
+    auto complete = [done, response] { done(response); };
+    if (worker.hold_completions) {
+      worker.held_completions.emplace_back(std::move(complete));
+    } else {
+      queue.emplace_back(std::move(complete));
+    }
   }
   void Probe(const std::string& endpoint, double, Done done) override {
     FakeWorker& worker = by_endpoint[endpoint];
@@ -470,11 +483,7 @@
   void SendHeartbeat(FakeWorker* worker) {
     if (worker->unresponsive || worker->heartbeat.machine.empty()) return;
     ++worker->heartbeat.sequence;
-    const HeartbeatResponse response = leader->HandleHeartbeat(worker->heartbeat);
-    if (response.status == 200 && response.fencing_token >= worker->heartbeat.fencing_token &&
-        !worker->one_way_reachable) {
-      worker->Execute(response.fencing_token, response.commands);
-    }
+    worker->ReceiveResponse(leader->HandleHeartbeat(worker->heartbeat));
   }
   FakeWorker& AddMachine(const std::string& name, const std::string& zone, bool spot = false) {
     FakeWorker& worker = workers.by_endpoint[name + ":1"];
