--- a/src/fleet/command_builder.cc
+++ b/src/fleet/command_builder.cc
@@ -1,5 +1,8 @@
 #include "fleet/command_builder.h"
 
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -33,24 +36,34 @@
   return MakeCommand(CommandOp::kStop, *attempt, is_overdue ? 0 : attempt->grace_period_s);
 }
 
+void LogLaunch(const Machine& machine, const TaskAttempt& attempt, CommandChannel channel) {
+  const bool direct = channel == CommandChannel::kDirect;
+  spdlog::debug("machine={} task={} attempt={} token={} heartbeat={}: launch sent {}", machine.name,
+                attempt.task_name, attempt.number, machine.fencing_token,
+                machine.heartbeat_sequence, direct ? "directly" : "in a response");
+}
+
 }  // namespace
 
 CommandBuilder::CommandBuilder(const JobStore* job_store, MachineRegistry* machines,
                                AttemptTracker* attempts, const Clock* clock)
     : job_store_(job_store), machines_(machines), attempts_(attempts), clock_(clock) {}
 
-std::vector<Command> CommandBuilder::BuildCommands(MachineIndex machine_index, bool may_launch) {
+std::vector<Command> CommandBuilder::BuildCommands(MachineIndex machine_index, bool may_launch,
+                                                   CommandChannel channel) {
   const Machine& machine = (*machines_)[machine_index];
   if (!machine.reconciled) return {};
   ResolveUnwantedLaunches(machine_index);
+  FenceOffExitedAttempts(machine_index);
   std::vector<Command> commands = BuildStopsAndAcknowledgements(machine_index);
   if (!may_launch || !HasAcknowledgedToken(machine)) return commands;
-  for (Command& launch : BuildLaunches(machine_index)) commands.push_back(std::move(launch));
+  for (Command& launch : BuildLaunches(machine_index, channel))
+    commands.push_back(std::move(launch));
   return commands;
 }
 
 void CommandBuilder::ResolveUnwantedLaunches(MachineIndex machine_index) {
-  Machine& machine = (*machines_)[machine_index];
+  const Machine& machine = (*machines_)[machine_index];
   for (size_t i = machine.attempts.size(); i-- > 0;) {
     const TaskAttempt& attempt = machine.attempts[i];
     if (attempt.wanted || attempt.reported) continue;
@@ -58,11 +71,20 @@
       attempts_->RequeueAndErase(machine_index, i);
     } else if (attempt.launch_fencing_token == machine.fencing_token) {
       // The launch may still be executed; the higher token fences it off.
-      ++machine.fencing_token;
+      machines_->RaiseFencingToken(machine_index, "unwanted launch");
     }
   }
 }
 
+void CommandBuilder::FenceOffExitedAttempts(MachineIndex machine_index) {
+  const Machine& machine = (*machines_)[machine_index];
+  const bool must_fence_off = std::any_of(
+      machine.attempts.begin(), machine.attempts.end(), [&](const TaskAttempt& attempt) {
+        return MayAcknowledgeExit(attempt) && MayLaunchBeInTransit(machine, attempt);
+      });
+  if (must_fence_off) machines_->RaiseFencingToken(machine_index, "launch of an exited attempt");
+}
+
 std::vector<Command> CommandBuilder::BuildStopsAndAcknowledgements(MachineIndex machine_index) {
   const double now = clock_->Now();
   std::vector<Command> commands;
@@ -77,13 +99,17 @@
   return commands;
 }
 
-std::vector<Command> CommandBuilder::BuildLaunches(MachineIndex machine_index) {
+std::vector<Command> CommandBuilder::BuildLaunches(MachineIndex machine_index,
+                                                   CommandChannel channel) {
   Machine& machine = (*machines_)[machine_index];
   std::vector<Command> commands;
   for (TaskAttempt& attempt : machine.attempts) {
     if (attempt.released || !attempt.wanted || attempt.reported) continue;
     commands.push_back(MakeCommand(CommandOp::kStart, attempt));
     attempt.launch_fencing_token = machine.fencing_token;
+    if (channel == CommandChannel::kHeartbeatResponse)
+      attempt.launch_heartbeat_sequence = machine.heartbeat_sequence;
+    LogLaunch(machine, attempt, channel);
   }
   return commands;
 }
@@ -133,8 +159,7 @@
 }
 
 void CommandBuilder::FenceOffSentCommands(MachineIndex machine_index) {
-  ++(*machines_)[machine_index].fencing_token;
-  machines_->InvalidateMachine(machine_index);
+  machines_->RaiseFencingToken(machine_index, "no response to a command");
 }
 
 }  // namespace deckhall
--- a/src/fleet/command_builder.h
+++ b/src/fleet/command_builder.h
@@ -2,7 +2,8 @@
 // its machine.
 //
 // Guarantees: no launch is sent before the agent has acknowledged the current fencing token; an
-// exit is acknowledged only after the completion of its task is durable; an attempt that was
+// exit is acknowledged only after the completion of its task is durable, and only with a token
+// higher than that of every launch of the attempt that may be in transit; an attempt that was
 // launched and is no longer wanted is fenced off before its task can be placed again.
 //
 // Owned by Fleet. All commands are idempotent (PROTOCOL, "Tokens" and the section before it).
@@ -18,14 +19,19 @@
 
 namespace deckhall {
 
+// How commands reach the agent.
+enum class CommandChannel { kDirect, kHeartbeatResponse };
+
 class CommandBuilder {
  public:
   CommandBuilder(const JobStore* job_store, MachineRegistry* machines, AttemptTracker* attempts,
                  const Clock* clock);
 
-  // The commands to send now, recorded as sent; includes launches only if `may_launch`. Empty for a
-  // machine that is not reconciled.
-  std::vector<Command> BuildCommands(MachineIndex machine_index, bool may_launch);
+  // The commands to send now, recorded as sent by `channel`; includes launches only if
+  // `may_launch`. Empty for a machine that is not reconciled. May raise the fencing token with
+  // which they must be sent. Must not be called while a direct command is in flight.
+  std::vector<Command> BuildCommands(MachineIndex machine_index, bool may_launch,
+                                     CommandChannel channel);
 
   // Stops for all attempts to be stopped, including stops that were sent before, since these may be
   // lost.
@@ -47,8 +53,11 @@
   // Drops unwanted attempts that were never launched, and fences off those launched with the
   // current token.
   void ResolveUnwantedLaunches(MachineIndex machine_index);
+  // Raises the token if otherwise a launch that is in transit could start an attempt again after
+  // the acknowledgement of its exit.
+  void FenceOffExitedAttempts(MachineIndex machine_index);
   std::vector<Command> BuildStopsAndAcknowledgements(MachineIndex machine_index);
-  std::vector<Command> BuildLaunches(MachineIndex machine_index);
+  std::vector<Command> BuildLaunches(MachineIndex machine_index, CommandChannel channel);
   bool MayAcknowledgeExit(const TaskAttempt& attempt) const;
 
   const JobStore* job_store_;
--- a/src/fleet/fencing.h
+++ b/src/fleet/fencing.h
@@ -37,4 +37,19 @@
   return machine.acknowledged_token >= machine.fencing_token;
 }
 
+// Whether a launch of the attempt may be in transit that the agent would still execute after
+// commands with the machine's current token. Must not be called while a direct command is in
+// flight.
+//
+// A direct command is no longer in transit once the agent has responded to it, and the token is
+// raised if there is no response. An agent sends its next heartbeat only after it has received or
+// given up the response to the last one, so the next heartbeat shows that a response is no longer
+// in transit. The response to a later direct command does not show that.
+inline bool MayLaunchBeInTransit(const Machine& machine, const TaskAttempt& attempt) {
+  const bool has_current_token = attempt.launch_fencing_token == machine.fencing_token;
+  const bool in_response = attempt.launch_heartbeat_sequence != 0 &&
+                           attempt.launch_heartbeat_sequence == machine.heartbeat_sequence;
+  return has_current_token && in_response;
+}
+
 }  // namespace deckhall
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -125,9 +125,11 @@
 
   // Commands. See CommandBuilder.
 
-  // The commands to send now; includes launches only if `may_launch`.
-  std::vector<Command> BuildCommands(MachineIndex machine_index, bool may_launch) {
-    return commands_.BuildCommands(machine_index, may_launch);
+  // The commands to send now by `channel`; includes launches only if `may_launch`. May raise the
+  // fencing token with which they must be sent.
+  std::vector<Command> BuildCommands(MachineIndex machine_index, bool may_launch,
+                                     CommandChannel channel) {
+    return commands_.BuildCommands(machine_index, may_launch, channel);
   }
   // Stops for all attempts to be stopped, including stops that were sent before.
   std::vector<Command> BuildStops(MachineIndex machine_index) {
--- a/src/fleet/machine_registry.cc
+++ b/src/fleet/machine_registry.cc
@@ -1,5 +1,7 @@
 #include "fleet/machine_registry.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "fleet/fencing.h"
@@ -59,6 +61,14 @@
   events_->placement_needed = true;
 }
 
+void MachineRegistry::RaiseFencingToken(MachineIndex machine_index, const char* reason) {
+  Machine& machine = machines_[machine_index];
+  ++machine.fencing_token;
+  spdlog::debug("machine={} token={}: fencing token raised: {}", machine.name,
+                machine.fencing_token, reason);
+  InvalidateMachine(machine_index);
+}
+
 void MachineRegistry::MarkReconciled(MachineIndex machine_index) {
   Machine& machine = machines_[machine_index];
   if (machine.reconciled) return;
--- a/src/leader/command_dispatcher.cc
+++ b/src/leader/command_dispatcher.cc
@@ -54,7 +54,8 @@
   const bool send_token = !machine.reconciled && (machine.may_run_former_attempts || machine.up);
   const bool may_launch = deps_.lease_expiry_bounds->HasNoBound(machine_index);
   if (!send_token && (!machine.up || !deps_.fleet->HasCommands(machine_index, may_launch))) return;
-  const std::vector<Command> commands = deps_.fleet->BuildCommands(machine_index, may_launch);
+  const std::vector<Command> commands =
+      deps_.fleet->BuildCommands(machine_index, may_launch, CommandChannel::kDirect);
   if (commands.empty() && !send_token && Fleet::HasAcknowledgedToken(machine)) return;
   Send(machine_index, commands);
 }
--- a/src/leader/heartbeat_handler.cc
+++ b/src/leader/heartbeat_handler.cc
@@ -111,7 +111,8 @@
     response.commands = deps_.fleet->BuildStops(machine_index);
   } else {
     // Launches need a valid lease of the leader; stops and clears don't.
-    response.commands = deps_.fleet->BuildCommands(machine_index, lease_valid);
+    response.commands =
+        deps_.fleet->BuildCommands(machine_index, lease_valid, CommandChannel::kHeartbeatResponse);
     // Building commands may increase the token.
     response.fencing_token = machine.fencing_token;
   }
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -49,6 +49,8 @@
   // Version of the last heartbeat, and fencing tokens. See PROTOCOL, "Tokens".
   uint64_t agent_epoch = 1;
   uint64_t sequence = 0;
+  // Highest sequence of a heartbeat in this epoch; `sequence` also counts responses of the agent.
+  uint64_t heartbeat_sequence = 0;
   uint64_t fencing_token = 0;       // sent with the next commands
   uint64_t acknowledged_token = 0;  // highest token reported by the agent
   bool suspected = false;           // a heartbeat contradicted earlier ones; to be probed soon
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -6,6 +6,28 @@
 namespace deckhall {
 namespace {
 
+// Submits job-1 while direct commands are refused. Returns the response to the next heartbeat, with
+// the launch of its task; the worker has not received it.
+HeartbeatResponse LaunchInHeldResponse(LeaderTestEnvironment* world, FakeWorker* worker) {
+  worker->refuses_connections = true;
+  world->Submit(world->Array("job-1", 1));
+  world->clock.now += 0.1;
+  world->ProcessPending();
+  worker->refuses_connections = false;
+  ++worker->heartbeat.sequence;
+  return world->leader->HandleHeartbeat(worker->heartbeat);
+}
+
+// The first launch shows that a task of the machine has exited; the exit is acknowledged with the
+// second one.
+void SubmitTwoJobs(LeaderTestEnvironment* world) {
+  for (const char* id : {"job-2", "job-3"}) {
+    world->Submit(world->Array(id, 1));
+    world->clock.now += 0.1;
+    world->ProcessPending();
+  }
+}
+
 TEST(Commands, LaunchDelayedPastAcknowledgedExitIsNotExecuted) {
   LeaderTestEnvironment world;
   world.StartLeader();
@@ -21,6 +43,41 @@
   EXPECT_EQ(worker.started_tasks.size(), 1U);
 }
 
+// The launch goes with the response to a heartbeat, which is held up, and then directly, with the
+// same token. The exit is known and acknowledged before the response arrives.
+TEST(Commands, LaunchInResponseDelayedPastAcknowledgedExitIsNotExecuted) {
+  LeaderTestEnvironment world;
+  world.StartLeader();
+  FakeWorker& worker = world.AddMachine("m-1", "east");
+  const HeartbeatResponse delayed = LaunchInHeldResponse(&world, &worker);
+  ASSERT_EQ(delayed.commands.size(), 1U);
+  world.clock.now += 0.5;
+  world.ProcessPending();
+  ASSERT_EQ(worker.started_tasks.size(), 1U);  // launched directly
+  worker.EndTask("job-1/0", ExitReason::kDone);
+  SubmitTwoJobs(&world);
+  ASSERT_EQ(worker.started_tasks.size(), 3U);
+  ASSERT_EQ(worker.heartbeat.tasks.size(), 2U);  // exit acknowledged
+  worker.ReceiveResponse(delayed);
+  EXPECT_EQ(worker.started_tasks.size(), 3U);
+}
+
+// The next heartbeat shows that the response has arrived or was given up. Raising the token then
+// would delay the launches of other tasks.
+TEST(Commands, ExitAfterTheNextHeartbeatIsAcknowledgedWithTheSameToken) {
+  LeaderTestEnvironment world;
+  world.StartLeader();
+  FakeWorker& worker = world.AddMachine("m-1", "east");
+  worker.ReceiveResponse(LaunchInHeldResponse(&world, &worker));
+  ASSERT_EQ(worker.started_tasks.size(), 1U);
+  const uint64_t token = worker.heartbeat.fencing_token;
+  world.AdvanceTime(1);
+  worker.EndTask("job-1/0", ExitReason::kDone);
+  SubmitTwoJobs(&world);
+  ASSERT_EQ(worker.heartbeat.tasks.size(), 2U);  // exit acknowledged
+  EXPECT_EQ(worker.heartbeat.fencing_token, token);
+}
+
 TEST(Commands, CancelFencesOffLaunchInFlight) {
   LeaderTestEnvironment world;
   world.StartLeader();
--- a/tests/meeting_test.cc
+++ b/tests/meeting_test.cc
@@ -53,6 +53,47 @@
   }
 }
 
+// The leader can't connect to the workers for a moment, so a launch goes with the response to a
+// heartbeat, which is relayed by a second controller and held up. Meanwhile the task is launched
+// directly, fails on its faulty machine, is cleared there and starts on another one. The worker
+// still waits for the response when it arrives: executed again, the launch ran the task twice.
+TEST(CombinedFaults, LaunchInDelayedRelayedResponseDoesNotRunItsTaskTwice) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    auto cluster = StartCluster(seed, 3, 2);
+    SimWorker& faulty = cluster->workers.at("m-1");
+    // Its replica makes the faulty machine the best fit for small tasks.
+    JobSpec replica = cluster->Service("job-900", 1, 4);
+    replica.zone = faulty.heartbeat.zone;
+    cluster->Submit(replica);
+    ASSERT_TRUE(cluster->RunUntil([&] { return cluster->MachineOf("job-900/0") == "m-1"; }, 30));
+    cluster->Run(10);
+    const size_t leader = cluster->Leader();
+    const size_t second = (leader + 1) % 3;
+    faulty.controller_index = second;
+    faulty.faulty = true;
+    ASSERT_TRUE(cluster->RunUntil([&] { return !faulty.awaiting_response; }, 5));
+    const double heartbeat_at = cluster->now() + 0.7;
+    faulty.next_heartbeat_at = heartbeat_at;
+    cluster->Run(0.3);
+    cluster->PartitionOneWay(NodeLabel(leader), "workers", 0.8, PartitionMode::kRefuse);
+    cluster->PartitionOneWay(NodeLabel(second), "m-1", 4.2, PartitionMode::kDelay);
+    cluster->Submit(cluster->Array(JobId(1), 1, 1));
+    const std::string task = JobId(1) + "/0";
+    ASSERT_TRUE(cluster->RunUntil([&] { return cluster->MachineOf(task) == "m-1"; }, 2)) << seed;
+    EXPECT_TRUE(faulty.awaiting_response);
+    ASSERT_TRUE(cluster->RunUntil([&] { return cluster->MachineOf(task) == "m-2"; }, 2.5)) << seed;
+    // The command that launches it also clears the failed task.
+    JobSpec next = cluster->Array(JobId(2), 1, 1);
+    next.zone = faulty.heartbeat.zone;
+    cluster->Submit(next);
+    EXPECT_TRUE(cluster->RunUntil([&] { return !faulty.awaiting_response; }, 4));
+    EXPECT_LT(cluster->now() - heartbeat_at, 4.1) << "the worker gave up the response";
+    cluster->Run(5);
+    faulty.faulty = false;
+    ExpectArraysDone(cluster.get(), {JobId(1), JobId(2)}, 150, seed);
+  }
+}
+
 // The state service refuses the leader for `refused_s` and fails for all controllers
 // `outage_after_s` after the refusal began. With `without_peers`, the leader is also partitioned
 // from its peers.
