Tests: no waiting time is counted while all controllers are down

Trace: all controllers end at 1161.6, 1192.3 and 1229.4 s and are started again 29.5 s later, so none of them runs at 1255.75.

--- a/tests/mix_test.cc
+++ b/tests/mix_test.cc
@@ -244,5 +244,12 @@
   }
 }
 
+// All controllers are down three times, for most of the 90 s for which a job waits. The oracle took
+// the faults for over while no controller was running.
+TEST(RandomFaultMix, WaitWhileAllControllersAreDownBreaksNoRule) {
+  RandomFaultScenario scenario(3619);
+  EXPECT_EQ(scenario.Execute(), "");
+}
+
 }  // namespace
 }  // namespace deckhall
