--- a/tests/mix_test.cc
+++ b/tests/mix_test.cc
@@ -251,5 +251,13 @@
   EXPECT_EQ(scenario.Execute(), "");
 }
 
+// Arrays wait for more than 90 s while a machine that fits has free capacity and the leader leads.
+TEST(RandomFaultMix, WaitingArraysArePlacedOnFreeCapacity) {
+  for (const uint64_t seed : {5106, 5625, 5878}) {
+    RandomFaultScenario scenario(seed);
+    EXPECT_EQ(scenario.Execute(), "") << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace deckhall
