Stop an attempt that a report lists as active though it counts as exited

The leader sent its clear every few seconds, which does nothing to a running task, and never a stop.

Cause: a report about an attempt that counts as exited was ignored (AttemptReconciler::ApplyTaskStatus), so the books won over a newer report. The attempt held no resources, and stops, of cancellations too, go to attempts that do. Class: an action on stale knowledge that newer knowledge contradicts.

Change: the report wins. The attempt counts again for its team, its zone and its machine, is stopped with the response to that report, and its task starts nowhere else before it has ended. An attempt that this leader launched and no longer tracks is stopped as well, where it was adopted if its task waited.

--- a/src/fleet/attempt_reconciler.cc
+++ b/src/fleet/attempt_reconciler.cc
@@ -124,7 +124,7 @@
   attempt.task_index = name->task_index;
   const TaskPhase phase = job.tasks[name->task_index].phase;
   const bool needs_attempt = phase == TaskPhase::kUnreconciled || phase == TaskPhase::kWaiting;
-  attempt.wanted = needs_attempt && job.lifecycle == JobLifecycle::kActive;
+  attempt.wanted = needs_attempt && from_earlier_term && job.lifecycle == JobLifecycle::kActive;
   // An attempt that exited does not become the current attempt of its task. If it was successful,
   // the task is done anyway. Otherwise a later attempt may run on a machine that is not reconciled
   // yet.
@@ -139,7 +139,10 @@
                                         const TaskStatus& status) {
   Machine& machine = (*machines_)[machine_index];
   attempt->reported = true;
-  if (attempt->released) return;
+  if (attempt->released) {
+    if (status.state == TaskState::kExited) return;
+    attempts_->HandleRestartedAttempt(machine_index, attempt);
+  }
   if (attempt->state != status.state) {
     spdlog::debug("machine={} task={} state={}: task state changed", machine.name,
                   attempt->task_name, static_cast<int>(status.state));
--- a/src/fleet/attempt_reconciler.h
+++ b/src/fleet/attempt_reconciler.h
@@ -1,9 +1,10 @@
 // Reconciles the attempts tracked on a machine with those a heartbeat lists.
 //
-// A listed attempt that is tracked gets its observed state; one that is not tracked is adopted,
-// and stopped if its task does not need it. A tracked attempt that is not listed was acknowledged,
-// lost, or has not been launched yet; it is released once the agent has seen a token higher than
-// that of its launches.
+// The heartbeat is right where it contradicts what is known. A listed attempt that is tracked gets
+// its observed state, and is stopped if it counted as exited but is active. One that is not tracked
+// is adopted, and stopped unless an earlier leader launched it and its task still needs it. A
+// tracked attempt that is not listed was acknowledged, lost, or has not been launched yet; it is
+// released once the agent has seen a token higher than that of its launches.
 //
 // Owned by Fleet. Called only for reconciled machines, and only with a heartbeat newer than all
 // applied before.
--- a/src/fleet/attempt_tracker.cc
+++ b/src/fleet/attempt_tracker.cc
@@ -113,6 +113,30 @@
   machines_->InvalidateMachine(machine_index);
 }
 
+void AttemptTracker::HandleRestartedAttempt(MachineIndex machine_index, TaskAttempt* attempt) {
+  spdlog::warn(
+      "machine={} task={} attempt={} exit_reason={}: exited attempt is active, stopping it",
+      (*machines_)[machine_index].name, attempt->task_name, attempt->number,
+      static_cast<int>(attempt->exit_reason));
+  attempt->released = false;
+  attempt->exit_reason = ExitReason::kNone;
+  HoldResources(machine_index, *attempt);
+  BlockTask(machine_index, *attempt);
+  attempt->wanted = false;
+  attempt->grace_period_s = 0;
+  attempt->stop_sent_at = kStopNotSentAt;
+  attempt->first_stop_sent_at = -1;
+  NotifyReplicaChanged(*attempt);
+  machines_->InvalidateMachine(machine_index);
+}
+
+void AttemptTracker::BlockTask(MachineIndex machine_index, const TaskAttempt& attempt) {
+  if (attempt.job == kNoIndex || !(*job_store_)[attempt.job].has_spec) return;
+  const TaskPhase phase = (*job_store_)[attempt.job].tasks[attempt.task_index].phase;
+  if (phase == TaskPhase::kWaiting || phase == TaskPhase::kUnreconciled)
+    job_store_->MarkPlaced(attempt.job, attempt.task_index, machine_index, attempt.number);
+}
+
 void AttemptTracker::HandleLostAttempt(MachineIndex machine_index, TaskAttempt* attempt) {
   spdlog::info("machine={} task={} attempt={}: attempt lost by its agent",
                (*machines_)[machine_index].name, attempt->task_name, attempt->number);
--- a/src/fleet/attempt_tracker.h
+++ b/src/fleet/attempt_tracker.h
@@ -45,6 +45,9 @@
   TaskAttempt& Add(MachineIndex machine_index, TaskAttempt attempt);
   // Frees the resources an attempt holds. Does nothing if it is already released.
   void ReleaseResources(MachineIndex machine_index, TaskAttempt* attempt);
+  // For an attempt that exited but is active again, as a heartbeat shows: accounts for its
+  // resources and stops it. Its task is not placed elsewhere before it has ended.
+  void HandleRestartedAttempt(MachineIndex machine_index, TaskAttempt* attempt);
   // For an attempt that the agent lost but that may be launched again by a command in transit: it
   // keeps its resources and its task until that is ruled out.
   void HandleLostAttempt(MachineIndex machine_index, TaskAttempt* attempt);
@@ -77,6 +80,8 @@
   void NotifyArrayTaskStopped(const TaskAttempt& attempt);
   // Copies the job's resources and scheduling class into the attempt.
   void AssignToJob(TaskAttempt* attempt);
+  // Makes the attempt the current one of its task, if the task waits, so that it is not placed.
+  void BlockTask(MachineIndex machine_index, const TaskAttempt& attempt);
   // Accounts for the resources of the attempt.
   void HoldResources(MachineIndex machine_index, const TaskAttempt& attempt);
   void ReleaseFromJob(MachineIndex machine_index, const TaskAttempt& attempt);
