--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -147,6 +147,21 @@
   EXPECT_EQ(scenario.won, 2);
 }
 
+TEST(Election, CopyOfTheTransactionThatWonChangesNothing) {
+  ElectionScenario scenario;
+  scenario.Pass(1);
+  ASSERT_EQ(scenario.won, 1);
+  ASSERT_EQ(scenario.state.committed.size(), 1U);
+  const Transaction acquisition = scenario.state.committed[0];
+  EXPECT_EQ(scenario.state.Apply(acquisition).status, KeyValueStatus::kConflict);
+  scenario.Pass(1);
+  EXPECT_EQ(scenario.election.term(), scenario.state.keys[Election::kKey].version);
+  scenario.election.Resign(LeadershipLossReason::kWorkersUnreachable, 10);
+  scenario.Pass(1);
+  EXPECT_NE(scenario.state.Apply(acquisition).status, KeyValueStatus::kOk);
+  EXPECT_FALSE(scenario.state.keys.contains(Election::kKey));
+}
+
 // A restarted process may announce only terms within this bound; see TermFreshness.
 TEST(Election, ReadingLeaderKeyBoundsTerms) {
   ElectionScenario scenario;
--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -77,6 +77,27 @@
   EXPECT_GT(other_worker.started_tasks.size(), 0U);
 }
 
+// Its attempt number comes to the machine a second time.
+TEST(Gang, CopyOfAnEarlierClearDoesNotRemoveATaskPlacedOnTheSameMachineAgain) {
+  GangTestEnvironment world;
+  world.StartLeaderWithGang(8);  // needs all cores of both machines
+  world.AdvanceTime(0.5);
+  ASSERT_EQ(world.TasksInState("job-1", TaskState::kWaitingForGang), 8U);
+  FakeWorker& worker = world.workers.by_endpoint["m-1:1"];
+  const TaskStatus rejected = worker.heartbeat.tasks.back();
+  worker.EndTask(rejected.task_name, ExitReason::kInsufficientCapacity);
+  world.AdvanceTime(1);
+  ASSERT_EQ(worker.heartbeat.tasks.size(), 3U);  // exit acknowledged
+  const DirectBatch clear{worker.heartbeat.fencing_token,
+                          worker.heartbeat.agent_epoch,
+                          {{CommandOp::kAcknowledgeExit, rejected.task_name, rejected.attempt, 0}}};
+  world.AdvanceTime(3);
+  ASSERT_TRUE(worker.HasTask(rejected.task_name));
+  ASSERT_EQ(worker.heartbeat.tasks.back().attempt, rejected.attempt);
+  worker.EndTask(rejected.task_name, ExitReason::kInsufficientCapacity);
+  EXPECT_FALSE(worker.ReceiveBatch(clear));
+}
+
 TEST(Gang, TaskOnUnreachableMachineIsReplacedOnlyAfterItsEndIsCertain) {
   GangTestEnvironment world;
   world.StartLeaderWithGang(6);
