--- a/src/leader/command_log.cc
+++ b/src/leader/command_log.cc
@@ -7,9 +7,9 @@
 namespace deckhall {
 namespace {
 
-// Bounds the log to some 20 KB a second.
-constexpr double kLinesPerSecond = 100;
-constexpr double kBurstLines = 1000;
+// Bounds the log to some 40 KB a second.
+constexpr double kLinesPerSecond = 200;
+constexpr double kBurstLines = 2000;
 constexpr double kSummaryIntervalSeconds = 60;
 
 const char* OperationName(CommandOp operation) {
