--- a/tests/late_copy_test.cc
+++ b/tests/late_copy_test.cc
@@ -247,6 +247,18 @@
   }
 }
 
+std::string CaseName(const ::testing::TestParamInfo<CopyCase>& info) {
+  const char* const endings[] = {"Failed", "Done", "Cancelled", "Preempted", "Evicted"};
+  const char* const sessions[] = {"SameSession", "NewSession"};
+  const char* const changes[] = {"SameLeader", "LeaderRestart", "OtherLeader"};
+  const char* const routes[] = {"Direct", "Relayed"};
+  std::string name = endings[static_cast<size_t>(std::get<Ending>(info.param))];
+  name += sessions[static_cast<size_t>(std::get<AgentSession>(info.param))];
+  name += changes[static_cast<size_t>(std::get<LeaderChange>(info.param))];
+  name += routes[static_cast<size_t>(std::get<Route>(info.param))];
+  return name;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     All, LateCopyMatrix,
     ::testing::Combine(::testing::Values(Ending::kFailed, Ending::kDone, Ending::kCancelled,
@@ -254,7 +266,8 @@
                        ::testing::Values(AgentSession::kSame, AgentSession::kNew),
                        ::testing::Values(LeaderChange::kNone, LeaderChange::kRestart,
                                          LeaderChange::kOther),
-                       ::testing::Values(Route::kOwn, Route::kRelayed)));
+                       ::testing::Values(Route::kOwn, Route::kRelayed)),
+    CaseName);
 
 }  // namespace
 }  // namespace deckhall
