Comments of CommandBuilder: the token that launches wait for

Cause: the header still guaranteed that no launch is sent before the agent has acknowledged the current token.

No behaviour.

--- a/src/fleet/command_builder.cc
+++ b/src/fleet/command_builder.cc
@@ -1,7 +1,5 @@
 #include "fleet/command_builder.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <optional>
 #include <utility>
--- a/src/fleet/command_builder.h
+++ b/src/fleet/command_builder.h
@@ -1,7 +1,7 @@
 // Builds the commands to an agent from the difference between the desired and the observed state of
 // its machine.
 //
-// Guarantees: no launch is sent before the agent has acknowledged the current fencing token; an
+// Guarantees: no launch is sent before the agent has reported the token that launches require; an
 // exit is acknowledged only after the completion of its task is durable, and only with a token
 // higher than that of every launch of the attempt that was ever sent; an attempt that was launched
 // and is no longer wanted is fenced off before its task can be placed again.
@@ -27,10 +27,10 @@
   CommandBuilder(const JobStore* job_store, MachineRegistry* machines, AttemptTracker* attempts,
                  const Clock* clock);
 
-  // The commands to send now, recorded as sent by `channel`; includes launches only if
-  // `may_launch`. Empty for a machine that is not reconciled. May raise the fencing token with
-  // which they must be sent. Must not be called while a direct command is in flight, which the
-  // agent would then reject.
+  // The commands to send now by `channel`; includes launches only if `may_launch`. Empty for a
+  // machine that is not reconciled. May raise the fencing token with which they must be sent; for
+  // acknowledgements, only a heartbeat response does. Must not be called while a direct command is
+  // in flight, which the agent would then reject.
   std::vector<Command> BuildCommands(MachineIndex machine_index, bool may_launch,
                                      CommandChannel channel);
 
