Calls without a connection: one deferred list for three clients

HttpClient completed a call that had no connection by a timer of its own, which held the callback. A further such call from within that callback removed the timer, as it was no longer active, and with it the callback that was running. Nobody was seen to meet it: the callers that were read retry from a tick. KeyValueClient and CloudClient had the same deferral twice more, without the flaw.

Change: DeferredCalls, used by all three; a function that runs is never in the list that a further one changes.

--- a/src/cloud/cloud_client.cc
+++ b/src/cloud/cloud_client.cc
@@ -27,14 +27,11 @@
       endpoint_(std::move(endpoint)),
       budget_(rps * kRateLimitShare, rps * kBurstSeconds),
       http_(loop, kMaxConnections, kMaxResponseBytes),
-      throttle_timer_(loop, [this] {
-        for (auto& done : std::exchange(throttled_calls_, {})) done(HttpResult());
-      }) {}
+      throttled_calls_(loop, kThrottleDelaySeconds) {}
 
 void CloudClient::Send(const HttpCall& call, double reserve, HttpClient::Done done) {
   if (!budget_.Take(clock_->Now(), 1, reserve)) {
-    throttled_calls_.push_back(std::move(done));
-    if (!throttle_timer_.active()) throttle_timer_.Start(kThrottleDelaySeconds);
+    throttled_calls_.Add([done = std::move(done)] { done(HttpResult()); });
     return;
   }
   http_.Call(endpoint_, call, [this, done = std::move(done)](HttpResult result) {
--- a/src/cloud/cloud_client.h
+++ b/src/cloud/cloud_client.h
@@ -4,6 +4,7 @@
 
 #include "cloud/cloud_provider.h"
 #include "net/clock.h"
+#include "net/deferred_calls.h"
 #include "net/http_client.h"
 #include "net/token_bucket.h"
 
@@ -28,8 +29,7 @@
   Endpoint endpoint_;
   TokenBucket budget_;
   HttpClient http_;
-  Timer throttle_timer_;
-  std::vector<HttpClient::Done> throttled_calls_;
+  DeferredCalls throttled_calls_;
 };
 
 }  // namespace deckhall
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,16 +4,6 @@
 
 namespace deckhall {
 
-void HttpClient::CompleteFromLoop(Done done, HttpResult result) {
-  // Calls `done` from the loop, as for all other results, and not from within Call.
-  completion_timers_.erase(std::remove_if(completion_timers_.begin(), completion_timers_.end(),
-                                          [](const auto& t) { return !t->active(); }),
-                           completion_timers_.end());
-  completion_timers_.push_back(std::make_unique<Timer>(
-      loop_, [done = std::move(done), result = std::move(result)] { done(result); }));
-  completion_timers_.back()->Start(0.001);
-}
-
 void HttpClient::Call(const Endpoint& to, const HttpCall& call, Done done) {
   const std::string peer = to.Text();
   auto& pool = idle_[peer];
@@ -26,7 +16,7 @@
     std::unique_ptr<TcpConn> tcp;
     if (conns_.size() < max_connections_) tcp = TcpConn::Connect(loop_, to);
     if (!tcp) {
-      CompleteFromLoop(std::move(done), HttpResult());
+      failed_calls_.Add([done = std::move(done)] { done(HttpResult()); });
       return;
     }
     auto conn = std::make_unique<Conn>(max_body_bytes_);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "net/deferred_calls.h"
 #include "net/tcp.h"
 #include "wire/http_parser.h"
 
@@ -35,7 +36,8 @@
       : loop_(loop),
         max_connections_(max_connections),
         max_body_bytes_(max_body_bytes),
-        destroy_timer_(loop, [this] { dropped_.clear(); }) {}
+        destroy_timer_(loop, [this] { dropped_.clear(); }),
+        failed_calls_(loop, kFailureDelaySeconds) {}
 
   // Calls `done` exactly once, from the loop and never from within Call.
   void Call(const Endpoint& to, const HttpCall& call, Done done);
@@ -44,6 +46,8 @@
   size_t connections() const { return conns_.size(); }
 
  private:
+  static constexpr double kFailureDelaySeconds = 0.001;
+
   struct Conn {
     uint64_t id = 0;
     std::string peer;
@@ -61,7 +65,6 @@
   void OnData(Conn* c, std::string_view bytes);
   void Fail(Conn* c);
   void Drop(Conn* c);
-  void CompleteFromLoop(Done done, HttpResult result);
   void DropOldestIdle();
 
   Loop* loop_;
@@ -71,8 +74,8 @@
   std::unordered_map<uint64_t, std::unique_ptr<Conn>> conns_;
   std::unordered_map<std::string, std::vector<Conn*>> idle_;
   std::vector<std::unique_ptr<Conn>> dropped_;
-  std::vector<std::unique_ptr<Timer>> completion_timers_;
   Timer destroy_timer_;
+  DeferredCalls failed_calls_;  // without a connection
 };
 
 }  // namespace deckhall
--- a/src/state/key_value_client.cc
+++ b/src/state/key_value_client.cc
@@ -54,19 +54,14 @@
       write_tokens_(write_rps * kWriteRateShare, WriteBurst(write_rps)),
       rps_(rps),
       http_(loop, kMaxConnections, kMaxResponseBytes),
-      refusal_timer_(loop, [this] { CompleteRefusedCalls(); }) {}
+      refused_calls_(loop, kRefusalDelaySeconds) {}
 
 void KeyValueClient::RefuseLater(Done done) {
-  refused_calls_.push_back(std::move(done));
-  if (!refusal_timer_.active()) refusal_timer_.Start(kRefusalDelaySeconds);
-}
-
-void KeyValueClient::CompleteRefusedCalls() {
-  for (Done& done : std::exchange(refused_calls_, {})) {
+  refused_calls_.Add([done = std::move(done)] {
     KeyValueResponse response;
     response.status = KeyValueStatus::kUnavailable;
     done(response);
-  }
+  });
 }
 
 void KeyValueClient::Send(const HttpCall& call, double reserve_tokens, Reader reader, Done done) {
--- a/src/state/key_value_client.h
+++ b/src/state/key_value_client.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "net/clock.h"
+#include "net/deferred_calls.h"
 #include "net/http_client.h"
 #include "net/token_bucket.h"
 #include "state/key_value_store.h"
@@ -52,7 +53,6 @@
                               const Reader& reader);
   // Completes a request beyond a rate limit with kUnavailable, later from the event loop.
   void RefuseLater(Done done);
-  void CompleteRefusedCalls();
 
   const Clock* clock_;
   Endpoint endpoint_;
@@ -61,8 +61,7 @@
   double smoothed_commit_s_ = 0.05;  // moving average of the duration of a commit
   double rps_;
   HttpClient http_;
-  Timer refusal_timer_;
-  std::vector<Done> refused_calls_;
+  DeferredCalls refused_calls_;
 };
 
 }  // namespace deckhall
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -71,5 +71,26 @@
   EXPECT_EQ(slow_status, 200);
 }
 
+// A call that failed locally was completed by a timer of its own. A further failing call from
+// within its callback destroyed that timer, together with the callback that was running.
+TEST(HttpClientTest, CallFailingWithinTheCallbackOfAFailedCallKeepsThatCallback) {
+  Loop loop;
+  HttpClient client(&loop, 0, 1000);  // no connection is available
+  const Endpoint nowhere{"127.0.0.1", 1};
+  auto captured = std::make_shared<int>(0);
+  const std::weak_ptr<int> observer = captured;
+  bool kept = false;
+  client.Call(nowhere, {"GET", "/", "", 1}, [&, captured](const HttpResult&) {
+    client.Call(nowhere, {"GET", "/", "", 1}, [&loop](const HttpResult&) { loop.Stop(); });
+    kept = !observer.expired();
+  });
+  captured.reset();
+  Timer timeout(&loop, [&loop] { loop.Stop(); });
+  timeout.Start(2);
+  loop.Run();
+  EXPECT_TRUE(kept);
+  EXPECT_TRUE(timeout.active()) << "the second call was not completed";
+}
+
 }  // namespace
 }  // namespace deckhall
