--- a/src/app/controller.cc
+++ b/src/app/controller.cc
@@ -84,7 +84,7 @@
   TickLeader();
   forwarder_.Tick();
   ResignIfWorkersUnreachable();
-  leader_lifecycle_.DestroyRetiredLeaders(now);
+  leader_lifecycle_.DestroyRetiredLeaders();
   const PeerMembership& membership = peer_network_.membership();
   health_.Update(now, membership.Leader(), election_.IsLeaseValid(),
                  membership.SecondsSinceLastResponse());
--- a/src/app/leader_lifecycle.h
+++ b/src/app/leader_lifecycle.h
@@ -1,10 +1,10 @@
 // The lifecycle of this controller's `Leader` objects: one is started for each term that this
-// controller leads, retired when the term ends, and destroyed after a retention time.
+// controller leads, retired when the term ends, and destroyed once none of its calls is running.
 //
-// Invariants: at most one leader is current. A retired leader accepts and sends no requests, but it
-// stays in memory until its last outstanding request has been answered or has timed out, because
-// the callbacks of these requests point to it. So a leader may be retired from within one of its
-// own methods.
+// Invariants: at most one leader is current. A retired leader accepts and sends no requests, and
+// responses to its outstanding requests are dropped (CallbackScope), so it needs not wait for them.
+// A leader may be retired from within one of its own methods; it is destroyed after that has
+// returned.
 //
 // Owned by `Controller`. Single-threaded; all times are seconds of the steady clock.
 #pragma once
@@ -25,12 +25,13 @@
   // The pointers must outlive this object.
   LeaderLifecycle(const Clock* clock, const Settings* settings, const Tuning* tuning);
 
-  // Creates the leader of a term and makes it current. The caller sets its callbacks and starts it.
+  // Creates the leader of a term and makes it current; retires the former one if it still is. The
+  // caller sets its callbacks and starts it.
   Leader* CreateLeader(const LeaderPorts& ports, uint64_t term);
   // Retires the current leader, if there is one.
   void RetireLeader();
-  // Destroys the leaders whose retention time is over at `now`.
-  void DestroyRetiredLeaders(double now);
+  // Destroys the retired leaders, except those of which a call is running. Called periodically.
+  void DestroyRetiredLeaders();
 
   // The leader of the current term; null while this controller does not lead.
   Leader* current() { return current_.get(); }
@@ -41,16 +42,11 @@
   double elected_at() const { return elected_at_; }
 
  private:
-  struct RetiredLeader {
-    double retired_at;
-    std::unique_ptr<Leader> leader;
-  };
-
   const Clock* clock_;
   const Settings* settings_;
   const Tuning* tuning_;
   std::unique_ptr<Leader> current_;
-  std::vector<RetiredLeader> retired_;
+  std::vector<std::unique_ptr<Leader>> retired_;
   double elected_at_ = 0;
 };
 
--- a/src/leader/command_dispatcher.cc
+++ b/src/leader/command_dispatcher.cc
@@ -69,7 +69,7 @@
   deps_.workers->SendCommands(machine.endpoint, machine.fencing_token, machine.agent_epoch,
                               commands, kCommandTimeoutSeconds,
                               [this, machine_index, version](const WorkerResponse& response) {
-                                if (!stopped_) HandleResponse(machine_index, response, version);
+                                HandleResponse(machine_index, response, version);
                               });
 }
 
--- a/src/leader/command_dispatcher.h
+++ b/src/leader/command_dispatcher.h
@@ -41,8 +41,6 @@
   // Sends commands to changed machines, as far as the budget allows. `now` is steady time, in
   // seconds.
   void PushPendingCommands(double now);
-  // Ignores responses that arrive later.
-  void Stop() { stopped_ = true; }
   // Machines checked so far; tests bound the work as the fleet grows.
   uint64_t work_units() const { return work_units_; }
 
@@ -58,7 +56,6 @@
   const Dependencies deps_;
   TokenBucket budget_;
   uint64_t work_units_ = 0;
-  bool stopped_ = false;
 };
 
 }  // namespace deckhall
--- a/src/leader/failure_detector.cc
+++ b/src/leader/failure_detector.cc
@@ -223,7 +223,7 @@
   const HeartbeatVersion version = deps_.fleet->VersionOf(machine_index);
   deps_.workers->Probe(machine.endpoint, kProbeTimeoutSeconds,
                        [this, machine_index, version](const WorkerResponse& response) {
-                         if (!stopped_) HandleProbeResponse(machine_index, response, version);
+                         HandleProbeResponse(machine_index, response, version);
                        });
 }
 
--- a/src/leader/failure_detector.h
+++ b/src/leader/failure_detector.h
@@ -47,8 +47,6 @@
   void AssessFleet(double now);
   // Checks one machine: handles lease expiry, then declares the machine dead or probes it if due.
   void CheckMachine(MachineIndex machine_index);
-  // From now on, responses to probes that are still in flight are ignored.
-  void Stop() { stopped_ = true; }
   // Machines examined so far. Shows whether the work stays within bounds as the fleet grows.
   uint64_t work_units() const { return work_units_; }
 
@@ -86,7 +84,6 @@
   double term_began_at_ = 0;
   double last_death_at_ = -1e9;  // steady time, in seconds
   uint64_t work_units_ = 0;
-  bool stopped_ = false;
 };
 
 }  // namespace deckhall
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -24,33 +24,36 @@
 
 }  // namespace
 
-Leader::Leader(const LeaderPorts& ports, const Settings* settings, const Tuning* tuning,
+Leader::Leader(const LeaderPorts& services, const Settings* settings, const Tuning* tuning,
                const std::string& leader_key, uint64_t term)
-    : ports_(ports),
+    : key_value_store_(services.key_value_store, &callback_scope_),
+      cloud_(services.cloud, &callback_scope_),
+      workers_(services.workers, &callback_scope_),
+      ports_(ScopedPorts(services)),
       settings_(settings),
       tuning_(tuning),
       term_(term),
-      record_store_(ports.key_value_store, ports.clock, RecordStoreLimitsFrom(*settings),
+      record_store_(ports_.key_value_store, ports_.clock, RecordStoreLimitsFrom(*settings),
                     leader_key, term),
       job_store_(&record_store_),
-      fleet_(&job_store_, ports.clock, term, FleetOptionsFrom(*settings)),
-      provisioner_(ports.cloud, &record_store_, &fleet_, &job_store_, ports.clock, term,
+      fleet_(&job_store_, ports_.clock, term, FleetOptionsFrom(*settings)),
+      provisioner_(ports_.cloud, &record_store_, &fleet_, &job_store_, ports_.clock, term,
                    ProvisionerOptionsFrom(*settings)),
       cache_hints_(&record_store_, &job_store_, &fleet_,
                    RecordStoreLimitsFrom(*settings).fill_bytes / kCacheHintRecordsPerPage -
                        kPageOverheadBytes),
-      free_capacity_(&job_store_, &fleet_, &provisioner_, &record_store_, ports.clock, settings,
+      free_capacity_(&job_store_, &fleet_, &provisioner_, &record_store_, ports_.clock, settings,
                      tuning),
-      ranking_(&job_store_, &free_capacity_, ports.clock, tuning),
-      gang_supervisor_(&job_store_, &fleet_, &ranking_, ports.clock, settings),
-      ledger_(&job_store_, &fleet_, ports.clock, HeartbeatOverdueSeconds(*settings)),
+      ranking_(&job_store_, &free_capacity_, ports_.clock, tuning),
+      gang_supervisor_(&job_store_, &fleet_, &ranking_, ports_.clock, settings),
+      ledger_(&job_store_, &fleet_, ports_.clock, HeartbeatOverdueSeconds(*settings)),
       eviction_controller_({&job_store_, &fleet_, &free_capacity_, &provisioner_, &gang_supervisor_,
-                            &record_store_, &ledger_, ports.clock}),
+                            &record_store_, &ledger_, ports_.clock}),
       placer_(&job_store_, &fleet_, &free_capacity_, &ranking_, &provisioner_, &ledger_,
-              ports.clock, tuning),
+              ports_.clock, tuning),
       autoscaler_(&job_store_, &fleet_, &free_capacity_, &ranking_, &provisioner_, &ledger_,
-                  &eviction_controller_, ports.clock, settings, tuning),
-      admission_control_(&job_store_, &provisioner_, ports.clock, settings),
+                  &eviction_controller_, ports_.clock, settings, tuning),
+      admission_control_(&job_store_, &provisioner_, ports_.clock, settings),
       job_request_handler_({.job_store = &job_store_,
                             .fleet = &fleet_,
                             .record_store = &record_store_,
@@ -58,62 +61,70 @@
                             .free_capacity = &free_capacity_,
                             .ranking = &ranking_,
                             .admission_control = &admission_control_,
-                            .lease = ports.lease,
-                            .clock = ports.clock}),
-      ended_job_collector_(&job_store_, ports.clock, settings),
+                            .lease = ports_.lease,
+                            .clock = ports_.clock}),
+      ended_job_collector_(&job_store_, ports_.clock, settings),
       progress_saver_(&job_store_, &cache_hints_, tuning),
-      command_log_(ports.lease, ports.clock, term),
-      heartbeat_validator_(&job_store_, &fleet_, ports.lease, ports.clock, term,
+      command_log_(ports_.lease, ports_.clock, term),
+      heartbeat_validator_(&job_store_, &fleet_, ports_.lease, ports_.clock, term,
                            [this](const char* reason) { LoseLeadership(reason); }),
-      lease_expiry_bounds_(&record_store_, &fleet_, &provisioner_, ports.clock),
+      lease_expiry_bounds_(&record_store_, &fleet_, &provisioner_, ports_.clock),
       heartbeat_handler_({.fleet = &fleet_,
                           .provisioner = &provisioner_,
                           .heartbeat_validator = &heartbeat_validator_,
                           .lease_expiry_bounds = &lease_expiry_bounds_,
                           .command_log = &command_log_,
-                          .lease = ports.lease,
-                          .clock = ports.clock,
+                          .lease = ports_.lease,
+                          .clock = ports_.clock,
                           .settings = settings,
                           .tuning = tuning,
                           .term = term,
-                          .no_later_term_since = ports.no_later_term_since}),
+                          .no_later_term_since = ports_.no_later_term_since}),
       partition_detector_({.job_store = &job_store_,
                            .fleet = &fleet_,
                            .free_capacity = &free_capacity_,
                            .lease_expiry_bounds = &lease_expiry_bounds_,
-                           .clock = ports.clock,
+                           .clock = ports_.clock,
                            .settings = settings,
-                           .is_zone_suspected = ports.is_zone_suspected}),
-      reachability_monitor_(&partition_detector_, ports.clock),
+                           .is_zone_suspected = ports_.is_zone_suspected}),
+      reachability_monitor_(&partition_detector_, ports_.clock),
       failure_detector_({.job_store = &job_store_,
                          .fleet = &fleet_,
                          .provisioner = &provisioner_,
                          .heartbeat_validator = &heartbeat_validator_,
                          .partition_detector = &partition_detector_,
                          .reachability_monitor = &reachability_monitor_,
-                         .workers = ports.workers,
-                         .clock = ports.clock,
+                         .workers = ports_.workers,
+                         .clock = ports_.clock,
                          .settings = settings,
                          .tuning = tuning,
-                         .former_leader_zone = ports.former_leader_zone}),
+                         .former_leader_zone = ports_.former_leader_zone}),
       command_dispatcher_({.fleet = &fleet_,
                            .provisioner = &provisioner_,
                            .heartbeat_validator = &heartbeat_validator_,
                            .lease_expiry_bounds = &lease_expiry_bounds_,
                            .reachability_monitor = &reachability_monitor_,
-                           .workers = ports.workers,
+                           .workers = ports_.workers,
                            .command_log = &command_log_,
-                           .lease = ports.lease,
-                           .clock = ports.clock},
+                           .lease = ports_.lease,
+                           .clock = ports_.clock},
                           *settings, *tuning),
-      attempt_exit_handler_(&job_store_, &fleet_, &gang_supervisor_, &ranking_, ports.clock),
+      attempt_exit_handler_(&job_store_, &fleet_, &gang_supervisor_, &ranking_, ports_.clock),
       failover_reconciler_(&job_store_, &fleet_),
-      preemption_notice_handler_(&job_store_, &fleet_, &gang_supervisor_, &ranking_, ports.clock) {
+      preemption_notice_handler_(&job_store_, &fleet_, &gang_supervisor_, &ranking_, ports_.clock) {
   for (const std::string& zone : settings->zones) job_store_.zones.Add(zone);
   for (const Team& team : settings->teams) job_store_.teams.Add(team.name);
   ConnectCallbacks();
 }
 
+LeaderPorts Leader::ScopedPorts(const LeaderPorts& services) {
+  LeaderPorts ports = services;
+  ports.key_value_store = &key_value_store_;
+  ports.cloud = &cloud_;
+  ports.workers = &workers_;
+  return ports;
+}
+
 void Leader::ConnectCallbacks() {
   record_store_.on_commit = [this] { job_request_handler_.HandleCommit(); };
   record_store_.on_leadership_lost = [this] { LoseLeadership("a write met another term"); };
@@ -131,6 +142,7 @@
 }
 
 void Leader::Start() {
+  const CallbackScope::RunningCall running = callback_scope_.EnterCall();
   const double now = ports_.clock->Now();
   partition_detector_.Start(now);
   failure_detector_.Start(now);
@@ -141,7 +153,6 @@
   load_.in_flight = true;
   record_store_.Load([this](bool ok, const std::vector<std::pair<RecordId, std::string>>& records) {
     load_.in_flight = false;
-    if (retired_) return;
     const bool try_again = !ok || (record_store_.unreadable_pages() > 0 &&
                                    ++load_.unreadable_loads < kMaxLoadsWithUnreadablePages);
     if (try_again) {
@@ -188,6 +199,7 @@
 }
 
 void Leader::ApplyDisruptionPolicy(std::shared_ptr<const DisruptionPolicy> policy, bool confirmed) {
+  const CallbackScope::RunningCall running = callback_scope_.EnterCall();
   policy_ = std::move(policy);
   policy_confirmed_ = confirmed;
   // Drains resume from the records, and replicas are counted from them.
@@ -197,6 +209,7 @@
 }
 
 void Leader::HandleJobRequest(const JobRequest& request, JobResponseCallback done) {
+  const CallbackScope::RunningCall running = callback_scope_.EnterCall();
   if (!loaded_) {
     done(UnavailableResponse("taking over"));
     return;
@@ -205,19 +218,21 @@
 }
 
 HeartbeatResponse Leader::HandleHeartbeat(const Heartbeat& heartbeat) {
+  const CallbackScope::RunningCall running = callback_scope_.EnterCall();
   return heartbeat_handler_.HandleHeartbeat(heartbeat, loaded_);
 }
 
 void Leader::Retire() {
+  const CallbackScope::RunningCall running = callback_scope_.EnterCall();
+  callback_scope_.End();
   retired_ = true;
   loaded_ = false;
   record_store_.Stop();
-  failure_detector_.Stop();
-  command_dispatcher_.Stop();
   job_request_handler_.FailPending("another node leads");
 }
 
 void Leader::Tick() {
+  const CallbackScope::RunningCall running = callback_scope_.EnterCall();
   const double now = ports_.clock->Now();
   if (retired_) return;
   if (!loaded_) {
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -2,7 +2,8 @@
 //
 // Guarantees: without a valid lease of its term the leader changes no state outside this process,
 // except that it continues to respond to heartbeats for a grace period. It makes no decision before
-// all records are loaded, and none after Retire().
+// all records are loaded, and none after Retire(). All requests to other services go through the
+// scoped services, so that their responses never reach a leader that has retired.
 //
 // Leader itself only loads the records and runs the scheduling loop. Each decision is made by a
 // component with a header of its own; components know only those that their constructors receive.
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "cloud/cloud_provider.h"
+#include "common/callback_scope.h"
 #include "drain/eviction_controller.h"
 #include "fleet/cache_hints.h"
 #include "fleet/worker_client.h"
@@ -33,10 +35,12 @@
 #include "leader/placer.h"
 #include "leader/preemption_notice_handler.h"
 #include "leader/progress_saver.h"
+#include "leader/scoped_services.h"
 
 namespace deckhall {
 
-// The services that a leader uses. All pointers must outlive it.
+// The services that a leader uses. All pointers must outlive it. The services may respond at any
+// time, also after the leader's destruction.
 struct LeaderPorts {
   KeyValueStore* key_value_store = nullptr;
   CloudProvider* cloud = nullptr;
@@ -56,7 +60,7 @@
   using JobResponseCallback = JobRequestHandler::ResponseCallback;
 
   // `leader_key` and `term` fence all writes: the version of that key must still be the term.
-  Leader(const LeaderPorts& ports, const Settings* settings, const Tuning* tuning,
+  Leader(const LeaderPorts& services, const Settings* settings, const Tuning* tuning,
          const std::string& leader_key, uint64_t term);
 
   // Begins the term: loads the records; scheduling starts once they are loaded.
@@ -67,9 +71,12 @@
   HeartbeatResponse HandleHeartbeat(const Heartbeat& heartbeat);
   // Runs the steps that are due. Must be called many times per second.
   void Tick();
-  // Ends the term: fails pending user requests; no decision is made afterwards. The object must be
-  // kept until its requests to other services have completed.
+  // Ends the term: answers pending user requests with 503; no decision is made afterwards, and
+  // later responses of the services are ignored. May be called from within any other method.
   void Retire();
+  // Whether one of the methods or the handling of a response is running: the object must not be
+  // destroyed now. It may be destroyed at any other time, with requests outstanding.
+  bool IsRunning() const { return callback_scope_.IsRunning(); }
   // Sets the disruption policy in force; null if there is none. `confirmed` says whether the policy
   // was read from the state service after this term began.
   void ApplyDisruptionPolicy(std::shared_ptr<const DisruptionPolicy> policy, bool confirmed);
@@ -107,6 +114,8 @@
     double autoscaling = 0;
   };
 
+  // The ports with the services replaced by the scoped ones.
+  LeaderPorts ScopedPorts(const LeaderPorts& services);
   void ConnectCallbacks();
   void LoseLeadership(const char* reason);
   void Load();
@@ -116,6 +125,10 @@
   void CheckLiveness();
   void PlaceTasksIfDue(double now);
 
+  CallbackScope callback_scope_;
+  ScopedKeyValueStore key_value_store_;
+  ScopedCloudProvider cloud_;
+  ScopedWorkerClient workers_;
   LeaderPorts ports_;
   const Settings* settings_;
   const Tuning* tuning_;
--- a/src/state/conflict_resolver.h
+++ b/src/state/conflict_resolver.h
@@ -5,7 +5,8 @@
 // all, or the term has ended.
 //
 // Resolve must be called while no transaction is in flight; otherwise the versions it reads could
-// be older than a commit. Owned by GroupCommit; must outlive any resolution that was started.
+// be older than a commit. Owned by GroupCommit; responses must not arrive after its destruction
+// (ScopedKeyValueStore).
 #pragma once
 
 #include <functional>
--- a/src/state/key_value_store.h
+++ b/src/state/key_value_store.h
@@ -4,9 +4,9 @@
 // Guarantees: every call invokes its `done` exactly once, and never from within the call itself.
 // Concurrent calls may be executed in any order.
 //
-// Implemented by KeyValueClient over HTTP, and by fakes in tests. Owned by the process; users hold
-// a pointer, and must outlive the requests they sent. All calls are made on the event loop's
-// thread.
+// Implemented by KeyValueClient over HTTP, and by fakes in tests. Owned by the process. A response
+// may come at any time: users that are destroyed earlier bind `done` to a CallbackScope, as
+// ScopedKeyValueStore does. All calls are made on the event loop's thread.
 #pragma once
 
 #include <functional>
--- a/src/state/page_loader.h
+++ b/src/state/page_loader.h
@@ -1,7 +1,8 @@
 // Reads all pages of the record store from the state service.
 //
 // Guarantees: on success, RecordPages holds every stored page with the version at which it was
-// read. Owned by RecordStore; must outlive any load that was started.
+// read. Owned by RecordStore; responses must not arrive after its destruction
+// (ScopedKeyValueStore).
 #pragma once
 
 #include <functional>
--- a/src/state/record_store.h
+++ b/src/state/record_store.h
@@ -9,7 +9,8 @@
 // - Records are never duplicated or lost, at whatever point a leader stops.
 //
 // Changes are applied in memory at once and sent by Flush. All calls are made on the event loop's
-// thread. Owned by Leader, one for each term; must outlive the requests it sent.
+// thread. Owned by Leader, one for each term. Responses must not arrive after its destruction
+// (ScopedKeyValueStore).
 //
 // This class is a facade over RecordPages (records and pages in memory), PageLoader,
 // WriteScheduler (selects the pages to write), TransactionBuilder, GroupCommit (sends transactions
--- a/tests/loopback_fleet.cc
+++ b/tests/loopback_fleet.cc
@@ -70,15 +70,26 @@
 LoopbackFleet::~LoopbackFleet() = default;
 
 void LoopbackFleet::HandleCloudRequest(const HttpMessage& request, const HttpServer::Reply& reply) {
-  if (request.target == "/flavors") {
-    reply(ListTypes());
-  } else if (request.target == "/machines/return") {
-    reply(ScaleIn(request.body));
-  } else if (request.method == "POST") {
-    reply(ScaleOut(request.body));
-  } else {
-    reply(List());
+  const HttpResponse response = ExecuteCloudRequest(request);
+  if (!hold_cloud_responses_) {
+    reply(response);
+    return;
   }
+  ++held_cloud_responses_;
+  held_responses_.emplace_back([reply, response] { reply(response); });
+}
+
+HttpResponse LoopbackFleet::ExecuteCloudRequest(const HttpMessage& request) {
+  if (request.target == "/flavors") return ListTypes();
+  if (request.target == "/machines/return") return ScaleIn(request.body);
+  if (request.method == "POST") return ScaleOut(request.body);
+  return List();
+}
+
+void LoopbackFleet::HoldCloudResponses(bool hold) {
+  hold_cloud_responses_ = hold;
+  if (hold) return;
+  for (const std::function<void()>& respond : std::exchange(held_responses_, {})) respond();
 }
 
 HttpResponse LoopbackFleet::ListTypes() const {
--- a/tests/loopback_fleet.h
+++ b/tests/loopback_fleet.h
@@ -2,6 +2,7 @@
 // report the start and end of each task to the disruption oracle.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -52,6 +53,11 @@
   // From now on, each direct command with a launch arrives once more, `delay_s` after the exit of
   // an attempt that it launched was acknowledged.
   void CopyLaunchesAfterAcknowledgement(double delay_s) { copy_delay_s_ = delay_s; }
+  // While `hold` is true, requests to the cloud are executed but not answered; afterwards the
+  // answers are sent.
+  void HoldCloudResponses(bool hold);
+  // Number of requests to the cloud so far whose answers were held.
+  size_t held_cloud_responses() const { return held_cloud_responses_; }
   std::string PickBusyMachine(uint64_t random_number) const;
   size_t CountMachines(const std::string& zone, const std::string& type) const;
   bool IsRunning(const std::string& task) const { return CountRunning(task) > 0; }
@@ -63,6 +69,7 @@
  private:
   struct Worker;
   void HandleCloudRequest(const HttpMessage& request, const HttpServer::Reply& reply);
+  HttpResponse ExecuteCloudRequest(const HttpMessage& request);
   HttpResponse ListTypes() const;
   HttpResponse ScaleOut(const std::string& body);
   HttpResponse ScaleIn(const std::string& body);
@@ -96,6 +103,9 @@
   double copy_delay_s_ = -1;  // negative: no command arrives twice
   int copied_commands_ = 0;
   std::vector<std::unique_ptr<Timer>> copies_;
+  bool hold_cloud_responses_ = false;
+  size_t held_cloud_responses_ = 0;
+  std::vector<std::function<void()>> held_responses_;
   Timer ticker_;
   HttpServer server_;
 };
