Connections closed in their own callbacks: one deferred deletion for client, server and peers

Change: DeferredDeletion, used by all three. The oldest inbound connection of a peer that is replaced at the limit is abandoned and destroyed later, too, as every other one. No other behaviour.

--- a/src/mesh/peer_connections.cc
+++ b/src/mesh/peer_connections.cc
@@ -38,7 +38,7 @@
                                  const std::vector<Peer>& peers)
     : loop_(loop),
       clock_(clock),
-      deletion_timer_(loop, [this] { closed_.clear(); }),
+      closed_(loop),
       maintenance_timer_(loop, [this] { MaintainConnections(); }),
       flush_before_wait_(loop, [this] { FlushConnections(); }),
       listener_(loop, listen, [this](std::unique_ptr<TcpConn> tcp) { Accept(std::move(tcp)); }) {
@@ -113,7 +113,7 @@
 }
 
 void PeerConnections::Accept(std::unique_ptr<TcpConn> tcp) {
-  if (inbound_.size() >= kMaxInboundConnections) inbound_.erase(inbound_.begin());
+  if (inbound_.size() >= kMaxInboundConnections) CloseInbound(inbound_.begin()->first);
   const uint64_t inbound_id = next_inbound_id_++;
   tcp->SetCallbacks(
       [this, inbound_id](std::string_view bytes) { ReceiveRequests(inbound_id, bytes); },
@@ -151,8 +151,7 @@
 
 void PeerConnections::DeleteLater(std::unique_ptr<TcpConn> tcp) {
   tcp->Abandon();
-  closed_.push_back(std::move(tcp));
-  deletion_timer_.Start(0);
+  closed_.Add(std::move(tcp));
 }
 
 }  // namespace deckhall
--- a/src/mesh/peer_connections.h
+++ b/src/mesh/peer_connections.h
@@ -25,6 +25,7 @@
 #include "mesh/peer_network.h"
 #include "mesh/peer_transport.h"
 #include "net/clock.h"
+#include "net/deferred_deletion.h"
 #include "net/loop.h"
 #include "net/tcp.h"
 
@@ -85,8 +86,7 @@
   std::vector<std::unique_ptr<OutboundConnection>> outbound_;  // by peer
   std::map<uint64_t, InboundConnection> inbound_;              // by id, the oldest first
   uint64_t next_inbound_id_ = 1;
-  std::vector<std::unique_ptr<TcpConn>> closed_;
-  Timer deletion_timer_;
+  DeferredDeletion<TcpConn> closed_;
   Timer maintenance_timer_;
   BeforeWait flush_before_wait_;
   TcpListener listener_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -94,9 +94,8 @@
   auto it = conns_.find(c->id);
   if (it == conns_.end()) return;
   c->tcp->Abandon();
-  dropped_.push_back(std::move(it->second));
+  dropped_.Add(std::move(it->second));
   conns_.erase(it);
-  if (!destroy_timer_.active()) destroy_timer_.Start(0);
 }
 
 // With more peers than connections, closes the connections that have been idle longest. Closes only
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "net/deferred_calls.h"
+#include "net/deferred_deletion.h"
 #include "net/tcp.h"
 #include "wire/http_parser.h"
 
@@ -36,7 +37,7 @@
       : loop_(loop),
         max_connections_(max_connections),
         max_body_bytes_(max_body_bytes),
-        destroy_timer_(loop, [this] { dropped_.clear(); }),
+        dropped_(loop),
         failed_calls_(loop, kFailureDelaySeconds) {}
 
   // Calls `done` exactly once, from the loop and never from within Call.
@@ -73,8 +74,7 @@
   uint64_t next_id_ = 1;
   std::unordered_map<uint64_t, std::unique_ptr<Conn>> conns_;
   std::unordered_map<std::string, std::vector<Conn*>> idle_;
-  std::vector<std::unique_ptr<Conn>> dropped_;
-  Timer destroy_timer_;
+  DeferredDeletion<Conn> dropped_;
   DeferredCalls failed_calls_;  // without a connection
 };
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -50,7 +50,7 @@
     : loop_(loop),
       limits_(limits),
       handler_(std::move(handler)),
-      destroy_timer_(loop, [this] { dropped_.clear(); }),
+      dropped_(loop),
       timeout_timer_(loop, [this] { CloseTimedOutConnections(); }),
       listener_(loop, at, [this](std::unique_ptr<TcpConn> c) { OnAccept(std::move(c)); }) {
   timeout_timer_.Start(1.0, 1.0);
@@ -150,9 +150,8 @@
   MarkBusy(it->second.get());
   it->second->closing = true;
   it->second->tcp->Abandon();
-  dropped_.push_back(std::move(it->second));
+  dropped_.Add(std::move(it->second));
   conns_.erase(it);
-  if (!destroy_timer_.active()) destroy_timer_.Start(0);
 }
 
 void HttpServer::MarkIdle(Conn* c) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "net/deferred_deletion.h"
 #include "net/tcp.h"
 #include "wire/http_parser.h"
 
@@ -78,8 +79,7 @@
   std::list<Conn*> idle_;
   uint64_t over_limit_connections_ = 0;
   double limit_logged_at_ = -1e9;
-  std::vector<std::unique_ptr<Conn>> dropped_;  // destroyed by destroy_timer_
-  Timer destroy_timer_;
+  DeferredDeletion<Conn> dropped_;
   Timer timeout_timer_;
   TcpListener listener_;
 };
