Tests of standstills: shared submission and numbers from the environment

Change: LargeArraySubmission in fakes.h, NumberFromEnvironment in environment.h. The tests are the same.

--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -410,6 +410,16 @@
   return spec;
 }
 
+// The submission of an array that needs more room than a few machines have.
+inline JobRequest LargeArraySubmission(const std::string& id) {
+  constexpr uint32_t kTasks = 16;
+  JobRequest request;
+  request.operation = JobOperation::kSubmit;
+  request.job_id = id;
+  request.job = ArraySpec(id, kTasks, 2);
+  return request;
+}
+
 inline JobSpec ServiceSpec(const std::string& id, uint32_t tasks, double cores) {
   JobSpec spec = ArraySpec(id, tasks, cores);
   spec.job_class = "live";
--- a/tests/retired_leader_test.cc
+++ b/tests/retired_leader_test.cc
@@ -56,20 +56,12 @@
     }
   }
 
-  JobRequest Submission(const std::string& id) const {
-    JobRequest request;
-    request.operation = JobOperation::kSubmit;
-    request.job_id = id;
-    request.job = ArraySpec(id, 16, 2);
-    return request;
-  }
-
   // Leaves a request outstanding at each service: a transaction with the record of a job, whose
   // user waits; a scale-out request or a list of instances; commands or probes of a machine.
   void LeaveRequestsOutstanding(const std::string& job) {
     Leader* leader = lifecycle_.current();
     RunLeader(2);
-    leader->HandleJobRequest(Submission(job + "-a"), [](const JobResponse&) {});
+    leader->HandleJobRequest(LargeArraySubmission(job + "-a"), [](const JobResponse&) {});
     state_.Run();
     SendHeartbeat();
     for (int i = 0; i < 4; ++i) {
@@ -77,7 +69,7 @@
       state_.Run();
       leader->Tick();
     }
-    leader->HandleJobRequest(Submission(job + "-b"), [this](const JobResponse& response) {
+    leader->HandleJobRequest(LargeArraySubmission(job + "-b"), [this](const JobResponse& response) {
       waiting_user_responses_.push_back(response.status);
     });
     EXPECT_FALSE(state_.queue.empty());
@@ -181,7 +173,7 @@
   };
   ++state_.revision;
   state_.keys[Election::kKey] = {"{}", state_.revision, 0};
-  lifecycle_.current()->HandleJobRequest(Submission("job-1"), [](const JobResponse&) {});
+  lifecycle_.current()->HandleJobRequest(LargeArraySubmission("job-1"), [](const JobResponse&) {});
   state_.Run();
   ASSERT_TRUE(lost);
   lifecycle_.DestroyRetiredLeaders();
--- a/tests/standstill_loopback_test.cc
+++ b/tests/standstill_loopback_test.cc
@@ -2,9 +2,9 @@
 // service, the cloud and the workers are fakes. The drawn part takes its number of rounds from
 // DECKHALL_STANDSTILL_ROUNDS and its seed from DECKHALL_STANDSTILL_SEED.
 #include <cmath>
-#include <cstdlib>
 #include <random>
 
+#include "environment.h"
 #include "loopback_world.h"
 
 namespace deckhall {
@@ -70,11 +70,6 @@
   if (HasFailure()) PrintLogs();
 }
 
-uint64_t NumberFromEnvironment(const char* name, uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::stoull(text);
-}
-
 TEST_F(StandstillLoopback, DrawnStandstillsEndNoProcess) {
   constexpr uint64_t kRounds = 2;
   constexpr double kShortestSeconds = 0.3;
--- a/tests/standstill_test.cc
+++ b/tests/standstill_test.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 #include "cluster.h"
+#include "environment.h"
 
 namespace deckhall {
 namespace {
@@ -37,14 +38,6 @@
     }
   }
 
-  JobRequest Submission(const std::string& id) const {
-    JobRequest request;
-    request.operation = JobOperation::kSubmit;
-    request.job_id = id;
-    request.job = ArraySpec(id, 16, 2);
-    return request;
-  }
-
   FakeClock clock_;
   FakeState state_;
   FakeCloud cloud_;
@@ -60,7 +53,7 @@
 TEST_F(ControllerStandstill, FormerLeaderWithRentalOutstandingEndsBeforeTheAnswer) {
   Run(2, true);
   ASSERT_NE(controller_->leader(), nullptr);
-  controller_->HandleJobRequest(Submission("job-1"), [](const JobResponse&) {});
+  controller_->HandleJobRequest(LargeArraySubmission("job-1"), [](const JobResponse&) {});
   while (cloud_.scale_out_requests.empty()) Run(0.02, false);
   const uint64_t term = controller_->election().term();
   ASSERT_FALSE(cloud_.queue.empty());
@@ -78,7 +71,8 @@
   EXPECT_GT(controller_->election().term(), term);
   int status = 0;
   controller_->HandleJobRequest(
-      Submission("job-1"), [&status](const JobResponse& response) { status = response.status; });
+      LargeArraySubmission("job-1"),
+      [&status](const JobResponse& response) { status = response.status; });
   EXPECT_EQ(status, 200) << "the job is known to the next leader";
 }
 
@@ -168,11 +162,6 @@
   std::vector<std::string> jobs_;
 };
 
-uint64_t NumberFromEnvironment(const char* name, uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::stoull(text);
-}
-
 TEST(DrawnStandstillsTest, NoRuleIsBroken) {
   constexpr uint64_t kSeeds = 24;
   constexpr uint64_t kSeedsByHand = 1000;
