--- a/tests/retired_leader_test.cc
+++ b/tests/retired_leader_test.cc
@@ -125,7 +125,7 @@
 }
 
 // Each leader leaves requests outstanding that are never answered while the test runs.
-TEST_F(RetiredLeader, HundredLeadersLeaveOneInMemory) {
+TEST_F(RetiredLeader, HundredLeadersLeaveNoneInMemory) {
   constexpr int kLeaders = 100;
   std::vector<std::weak_ptr<int>> leaders;
   std::vector<std::function<void()>> late_responses;
--- a/tests/standstill_loopback_test.cc
+++ b/tests/standstill_loopback_test.cc
@@ -72,9 +72,11 @@
 
 TEST_F(StandstillLoopback, DrawnStandstillsEndNoProcess) {
   constexpr uint64_t kRounds = 2;
+  // Its first round loses the leadership and then stands still past all timeouts.
+  constexpr uint64_t kSeed = 7472;
   constexpr double kShortestSeconds = 0.3;
   constexpr double kLongestSeconds = 20;
-  std::mt19937_64 random(NumberFromEnvironment("DECKHALL_STANDSTILL_SEED", 1));
+  std::mt19937_64 random(NumberFromEnvironment("DECKHALL_STANDSTILL_SEED", kSeed));
   const auto between = [&random](double low, double high) {
     return std::uniform_real_distribution<double>(low, high)(random);
   };
@@ -82,7 +84,10 @@
   StartAll();
   for (uint64_t round = 0; round < rounds && !HasFailure(); ++round) {
     SCOPED_TRACE("round " + std::to_string(round));
-    fleet_.HoldCloudResponses(between(0, 1) < 0.7);
+    // An unanswered request is most likely to meet the standstills.
+    if (between(0, 1) < 0.7) {
+      ASSERT_TRUE(HoldNextCloudRequest());
+    }
     if (between(0, 1) < 0.5) Submit(LoopbackService(100 + static_cast<int>(round), "red", 1, 1));
     Run(between(0, 2));
     const size_t leader = LeaderIndex();
--- a/tests/standstill_test.cc
+++ b/tests/standstill_test.cc
@@ -38,6 +38,15 @@
     }
   }
 
+  // Runs without answers of the cloud until the condition holds; false if it does not in time.
+  bool RunUntil(const std::function<bool()>& condition) {
+    constexpr double kTimeoutSeconds = 30;
+    for (const double end = clock_.now + kTimeoutSeconds; clock_.now < end && !condition();) {
+      Run(0.02, false);
+    }
+    return condition();
+  }
+
   FakeClock clock_;
   FakeState state_;
   FakeCloud cloud_;
@@ -54,11 +63,11 @@
   Run(2, true);
   ASSERT_NE(controller_->leader(), nullptr);
   controller_->HandleJobRequest(LargeArraySubmission("job-1"), [](const JobResponse&) {});
-  while (cloud_.scale_out_requests.empty()) Run(0.02, false);
+  ASSERT_TRUE(RunUntil([this] { return !cloud_.scale_out_requests.empty(); }));
   const uint64_t term = controller_->election().term();
   ASSERT_FALSE(cloud_.queue.empty());
   state_.EndLease(state_.next_lease - 1);
-  while (controller_->leader() != nullptr) Run(0.02, false);
+  ASSERT_TRUE(RunUntil([this] { return controller_->leader() == nullptr; }));
   for (const double standstill_s : {1.0, 20.0, 600.0}) {
     clock_.now += standstill_s;
     controller_->Tick();
