--- a/review/stage/controllers.cc
+++ b/review/stage/controllers.cc
@@ -143,6 +143,16 @@
   processes_[index] = kNoProcess;
 }
 
+size_t Controllers::MemoryBytes(size_t index) const {
+  if (!IsRunning(index)) return 0;
+  std::ifstream status("/proc/" + std::to_string(processes_[index]) + "/status");
+  constexpr std::string_view kField = "RssAnon:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kField)) return std::stoul(line.substr(kField.size())) * 1024;
+  }
+  return 0;
+}
+
 bool Controllers::HasEnded() {
   for (pid_t& process : processes_) {
     int status = 0;
--- a/review/stage/controllers.h
+++ b/review/stage/controllers.h
@@ -48,6 +48,9 @@
   static size_t IndexOf(const std::string& label);
   void Start(size_t index);
   void Kill(size_t index);
+  bool IsRunning(size_t index) const { return processes_[index] > 0; }
+  // Bytes of anonymous memory that the process holds; 0 if it does not run.
+  size_t MemoryBytes(size_t index) const;
   // Whether a process has ended that was not killed.
   bool HasEnded();
   std::string LogOf(size_t index) const;
--- a/review/stage/state_service.cc
+++ b/review/stage/state_service.cc
@@ -45,6 +45,10 @@
   ticker_.Start(kTickSeconds, kTickSeconds);
 }
 
+void StateService::Preload(const std::string& key, const std::string& value) {
+  entries_[key] = {value, ++revision_, 0};
+}
+
 std::string StateService::Leader() const {
   const auto entry = entries_.find("deckhall/leader");
   if (entry == entries_.end()) return "";
--- a/review/stage/state_service.h
+++ b/review/stage/state_service.h
@@ -23,6 +23,8 @@
  public:
   StateService(deckhall::Loop* loop, const deckhall::Endpoint& at, const StateLimits& limits);
 
+  // Stores a value as an earlier transaction did.
+  void Preload(const std::string& key, const std::string& value);
   // The label of the controller that holds the leader key; empty if there is none.
   std::string Leader() const;
 
