--- a/review/stage/controllers.cc
+++ b/review/stage/controllers.cc
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -21,6 +22,11 @@
 namespace {
 
 constexpr pid_t kNoProcess = -1;
+// Below the ports that Linux gives to outgoing connections, so that none of these takes the port of
+// a controller that is down.
+constexpr int kFirstPort = 20000;
+constexpr int kLastPort = 32000;
+constexpr int kPortAttempts = 1000;
 
 std::string Quote(const std::string& text) { return "\"" + text + "\""; }
 
@@ -31,6 +37,17 @@
   return joined;
 }
 
+bool IsFree(const deckhall::Endpoint& endpoint) {
+  const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
+  const bool bound = bind(socket_fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+  close(socket_fd);
+  return bound;
+}
+
 pid_t Spawn(std::vector<std::string> arguments, const std::string& log) {
   std::vector<char*> pointers;
   for (std::string& argument : arguments) pointers.push_back(argument.data());
@@ -50,16 +67,13 @@
 }  // namespace
 
 deckhall::Endpoint FreeEndpoint() {
-  const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-  socklen_t size = sizeof address;
-  if (bind(socket_fd, reinterpret_cast<sockaddr*>(&address), size) != 0)
-    throw std::runtime_error("no free port");
-  getsockname(socket_fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(socket_fd);
-  return {"127.0.0.1", ntohs(address.sin_port)};
+  static std::mt19937 random(std::random_device{}());
+  std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
+  for (int attempt = 0; attempt < kPortAttempts; ++attempt) {
+    const deckhall::Endpoint endpoint{"127.0.0.1", static_cast<uint16_t>(ports(random))};
+    if (IsFree(endpoint)) return endpoint;
+  }
+  throw std::runtime_error("no free port");
 }
 
 Controllers::Controllers(const std::string& program, const Deployment& deployment,
--- a/review/stage/platform.cc
+++ b/review/stage/platform.cc
@@ -27,6 +27,7 @@
 constexpr size_t kMaxBytes = 64 << 10;
 constexpr size_t kMaxResponseBytes = 4 << 20;
 constexpr double kTolerance = 1e-9;
+constexpr double kFailureSeconds = 0.5;  // from the start of a task on a faulty machine
 
 HttpResponse Response(int status, std::string body) {
   HttpResponse response;
@@ -107,6 +108,7 @@
   std::string endpoint;
   std::string state = "starting";  // as the cloud sees it
   bool silent = false;             // stopped with all that was on it
+  bool faulty = false;             // fails every task that it starts
   double rented_at = 0;
   double up_at = 0;
   double stopped_at = 0;
@@ -290,6 +292,11 @@
       });
 }
 
+void Platform::MakeFaulty(const std::string& machine) {
+  workers_.at(machine)->faulty = true;
+  record_->Write("machine " + machine + " fails every task that it starts from now on");
+}
+
 void Platform::Stop(const std::string& machine) {
   Worker* worker = workers_.at(machine).get();
   worker->silent = true;
@@ -450,6 +457,11 @@
 void Platform::AdvanceTasks(Worker* worker, double now) {
   for (Task& task : worker->tasks) {
     if (task.state == "pulling" && now >= task.image_at) BeginTask(worker, &task);
+    if (task.state == "running" && worker->faulty && now >= task.image_at + kFailureSeconds) {
+      record_->Write("error of " + task.name + " on " + worker->machine);
+      EndTask(worker, &task, "error");
+      continue;
+    }
     const bool completes =
         task.state == "running" && !jobs_.at(JobOf(task.name)).IsService() && now >= task.ends_at;
     if (!completes) continue;
--- a/review/stage/platform.h
+++ b/review/stage/platform.h
@@ -73,6 +73,8 @@
   void Upload(const JobDescription& job) { jobs_[job.id] = job; }
   // Adds a machine that is up at the start; returns its name.
   std::string AddMachine(const std::string& type, const std::string& zone);
+  // From now on the machine fails every task that it starts.
+  void MakeFaulty(const std::string& machine);
   // The machine stops with all that is on it.
   void Stop(const std::string& machine);
 
--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -90,11 +90,18 @@
   return answer == 200 || answer == 201;
 }
 
+bool Stage::Cancel(const std::string& job, double limit_s) {
+  bool told = false;
+  users.Cancel(job, [&told] { told = true; });
+  return RunUntil([&told] { return told; }, limit_s);
+}
+
 int Stage::Finish(int status, const std::string& result) {
   int exit_status = status;
   if (ended_by_itself_) {
     record.Write("a controller ended by itself");
-    exit_status = kRuleBroken;
+    // Before the case began it could not start, for example because its port was taken meanwhile.
+    if (status != kNotRun) exit_status = kRuleBroken;
   }
   for (size_t i = 0; i < Controllers::kCount; ++i) {
     std::istringstream log(controllers.LogOf(i));
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -41,6 +41,8 @@
   bool KillLeader(double back_after_s);
   // Submits the job and waits until it is accepted.
   bool Submit(const JobDescription& job, double limit_s);
+  // Cancels the job and waits until its user is told.
+  bool Cancel(const std::string& job, double limit_s);
   // Writes the result and the controllers' warnings to the record.
   int Finish(int status, const std::string& result);
 
--- a/review/stage/users.cc
+++ b/review/stage/users.cc
@@ -42,6 +42,19 @@
                });
 }
 
+void Users::Cancel(const std::string& job, std::function<void()> done) {
+  client_.Call(NextController(), {"POST", "/api/jobs/" + job + "/cancel", "", kSubmitTimeoutSeconds},
+               [this, job, done](const deckhall::HttpResult& result) {
+                 record_->Write("cancellation of " + job + " -> " +
+                                std::to_string(result.status) + " " + result.body);
+                 if (result.status == 200) {
+                   done();
+                 } else {
+                   Later(kRetrySeconds, [this, job, done] { Cancel(job, done); });
+                 }
+               });
+}
+
 void Users::Ask(const std::string& job, std::function<void(int, std::string)> done) {
   client_.Call(NextController(), {"GET", "/api/jobs/" + job, "", kAskTimeoutSeconds},
                [this, job, done](const deckhall::HttpResult& result) {
--- a/review/stage/users.h
+++ b/review/stage/users.h
@@ -20,6 +20,8 @@
 
   // Submits the job until it is accepted or refused for good; then calls `done` with the status.
   void Submit(const JobDescription& job, std::function<void(int status)> done);
+  // Cancels the job until the answer is 200; then calls `done`.
+  void Cancel(const std::string& job, std::function<void()> done);
   // Asks once, at the next controller; `done` gets the status and the state.
   void Ask(const std::string& job, std::function<void(int status, std::string state)> done);
 
