--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,4 +1,6 @@
-// A service whose replicas are spread over zones loses the machine of one replica.
+// A user cancels an array of many small tasks, all on one machine.
+#include <cstdio>
+
 #include "stage.h"
 
 namespace {
@@ -6,50 +8,76 @@
 using stage::JobDescription;
 
 constexpr double kStartLimitSeconds = 20;
-constexpr double kReplacementLimitSeconds = 75;
+constexpr double kAnswerLimitSeconds = 20;
+constexpr double kCancelSeconds = 55;
+constexpr double kWatchedLongerSeconds = 10;
 
 stage::StageOptions Options() {
   stage::StageOptions options;
-  options.deployment.zones = {"centro", "norte", "sur"};
-  options.deployment.teams = {{"guardia", 96, 480}};
-  options.deployment.lease_s = 22;
-  options.deployment.cancel_s = 42;
-  options.types = {{"box-dieciseis", 16, 128, 1.09, options.deployment.zones}};
+  options.deployment.teams = {{"cobranza", 64, 112}, {"atencion", 24, 96}};
+  options.deployment.lease_s = 30;
+  options.deployment.cancel_s = kCancelSeconds;
+  options.types = {{"grande", 16, 128, 1.25, options.deployment.zones}};
   return options;
 }
 
-JobDescription Matchmaker() {
+JobDescription Readings() {
   JobDescription job;
   job.id = "job-000001";
-  job.job_class = "emparejador";
-  job.team = "guardia";
+  job.job_class = "lectura-vivo";
+  job.team = "cobranza";
   job.kind = "daemon";
   job.priority = "production";
-  job.tasks = 2;
-  job.cores = 2;
-  job.memory_gb = 10;
-  job.apart = true;
+  job.memory_gb = 2;
+  return job;
+}
+
+JobDescription Register() {
+  JobDescription job;
+  job.id = "job-000002";
+  job.job_class = "padron-regional";
+  job.team = "atencion";
+  job.priority = "idle";
+  job.tasks = 900;
+  job.cores = 0.01;
+  job.memory_gb = 0.05;
+  job.run_s = 900;
   return job;
 }
 
 int Play(stage::Stage* stage) {
-  const JobDescription job = Matchmaker();
-  const auto all_run = [stage, &job] { return stage->platform.CountRunning(job.id) == job.tasks; };
-  stage->platform.AddMachine("box-dieciseis", "centro");
-  stage->platform.AddMachine("box-dieciseis", "norte");
-  if (!stage->Begin() || !stage->Submit(job, kStartLimitSeconds) ||
-      !stage->RunUntil(all_run, kStartLimitSeconds)) {
-    return stage->Finish(stage::kNotRun, "the service did not start");
+  const JobDescription service = Readings();
+  const JobDescription array = Register();
+  stage::Platform& platform = stage->platform;
+  const auto all_run = [&](const JobDescription& job) {
+    return [&platform, &job] { return platform.CountRunning(job.id) == job.tasks; };
+  };
+  platform.AddMachine("grande", "sierra-sur");
+  if (!stage->Begin() || !stage->Submit(service, kStartLimitSeconds) ||
+      !stage->RunUntil(all_run(service), kStartLimitSeconds) ||
+      !stage->Submit(array, kStartLimitSeconds) ||
+      !stage->RunUntil(all_run(array), kStartLimitSeconds)) {
+    return stage->Finish(stage::kNotRun, "the jobs did not start");
   }
   stage->Run(5);
-  if (stage::IsTroubled()) stage->platform.Stop(stage->platform.MachinesOf(job.id).back());
-  stage->Run(1);
-  const bool replaced = stage->RunUntil(all_run, kReplacementLimitSeconds);
-  if (!stage::IsTroubled()) stage->Run(kReplacementLimitSeconds);
-  const std::string result =
-      std::to_string(stage->platform.CountRunning(job.id)) + " of 2 replicas run; machines up: " +
-      std::to_string(stage->platform.CountMachines());
-  return stage->Finish(replaced && all_run() ? stage::kRuleHeld : stage::kRuleBroken, result);
+  if (!stage::IsTroubled()) {
+    stage->Run(kCancelSeconds + kWatchedLongerSeconds);
+    return stage->Finish(all_run(array)() ? stage::kRuleHeld : stage::kRuleBroken,
+                         std::to_string(platform.CountRunning(array.id)) + " tasks run");
+  }
+  if (!stage->Cancel(array.id, kAnswerLimitSeconds))
+    return stage->Finish(stage::kNotRun, "the cancellation was not answered");
+  stage->RunUntil([&] { return platform.CountRunning(array.id) == 0; }, kCancelSeconds);
+  const size_t left = platform.CountRunning(array.id);
+  char result[160];
+  std::snprintf(result, sizeof result,
+                "%zu of %u cancelled tasks are on the machine %.0f s after the user was told; "
+                "messages beyond 64 KiB: %zu",
+                left, array.tasks, kCancelSeconds, platform.oversized());
+  if (left > 0) stage->Run(kWatchedLongerSeconds);
+  stage->record.Write(std::to_string(platform.CountRunning(array.id)) +
+                      " of them are there at the end");
+  return stage->Finish(left > 0 ? stage::kRuleBroken : stage::kRuleHeld, result);
 }
 
 }  // namespace
--- a/review/stage/controllers.cc
+++ b/review/stage/controllers.cc
@@ -76,9 +76,9 @@
   throw std::runtime_error("no free port");
 }
 
-Controllers::Controllers(const std::string& program, const Deployment& deployment,
+Controllers::Controllers(const std::string& command, const Deployment& deployment,
                          const deckhall::Endpoint& state, const deckhall::Endpoint& cloud)
-    : program_(program), processes_(kCount, kNoProcess) {
+    : command_(command), processes_(kCount, kNoProcess) {
   std::string pattern = (std::filesystem::temp_directory_path() / "deckhall-review-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
   folder_ = pattern;
@@ -145,8 +145,11 @@
 }
 
 void Controllers::Start(size_t index) {
-  processes_[index] = Spawn({program_, "serve", "--config", SettingsPath(index)},
-                            folder_ + "/" + LabelOf(index) + ".log");
+  std::vector<std::string> arguments;
+  std::istringstream words(command_);
+  for (std::string word; words >> word;) arguments.push_back(word);
+  arguments.push_back(SettingsPath(index));
+  processes_[index] = Spawn(std::move(arguments), folder_ + "/" + LabelOf(index) + ".log");
 }
 
 void Controllers::Kill(size_t index) {
--- a/review/stage/controllers.h
+++ b/review/stage/controllers.h
@@ -33,8 +33,9 @@
 
 class Controllers {
  public:
-  // `program` is the path of the built program. Settings and logs are kept in a temporary folder.
-  Controllers(const std::string& program, const Deployment& deployment,
+  // `command` is the run command of the deploy file, to which the path of the settings is appended.
+  // Settings and logs are kept in a temporary folder.
+  Controllers(const std::string& command, const Deployment& deployment,
               const deckhall::Endpoint& state, const deckhall::Endpoint& cloud);
   // Ends all processes and removes the folder.
   ~Controllers();
@@ -60,7 +61,7 @@
   void WriteSettings(size_t index, const Deployment& deployment, const deckhall::Endpoint& state,
                      const deckhall::Endpoint& cloud) const;
 
-  std::string program_;
+  std::string command_;
   std::string folder_;
   std::vector<deckhall::Endpoint> endpoints_;
   std::vector<deckhall::Endpoint> mesh_;
--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -37,12 +37,12 @@
   return trouble == nullptr || std::string(trouble) != "0";
 }
 
-Stage::Stage(const std::string& program, const std::string& record_path,
+Stage::Stage(const std::string& command, const std::string& record_path,
              const StageOptions& options)
     : record(record_path),
       state_endpoint(FreeEndpoint()),
       cloud_endpoint(FreeEndpoint()),
-      controllers(program, options.deployment, state_endpoint, cloud_endpoint),
+      controllers(command, options.deployment, state_endpoint, cloud_endpoint),
       state(&loop, state_endpoint, LimitsFrom(options)),
       platform(&loop, &record, cloud_endpoint, PlatformOptionsFrom(options),
                controllers.endpoints(), Labels()),
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -27,8 +27,8 @@
 
 class Stage {
  public:
-  // `program`: the built controller. `record_path`: the file of the record.
-  Stage(const std::string& program, const std::string& record_path, const StageOptions& options);
+  // `command`: the run command of the deploy file. `record_path`: the file of the record.
+  Stage(const std::string& command, const std::string& record_path, const StageOptions& options);
 
   // Runs the loop until the condition holds; false after `limit_s` seconds, or if a controller
   // ended by itself.
