--- a/review/stage/controllers.cc
+++ b/review/stage/controllers.cc
@@ -79,7 +79,8 @@
 Controllers::Controllers(const std::string& command, const Deployment& deployment,
                          const deckhall::Endpoint& state, const deckhall::Endpoint& cloud)
     : command_(command), processes_(kCount, kNoProcess) {
-  std::string pattern = (std::filesystem::temp_directory_path() / "deckhall-review-XXXXXX").string();
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "deckhall-review-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
   folder_ = pattern;
   for (size_t i = 0; i < kCount; ++i) {
@@ -132,9 +133,9 @@
       << "{\"label\":" << Quote(LabelOf(index)) << ",\"site\":" << site_of(index)
       << ",\"serve_on\":" << Quote(endpoints_[index].Text())
       << ",\"mesh_addr\":" << Quote(mesh_[index].Text()) << ",\"siblings\":[" << siblings
-      << "],\"external\":{\"cloud\":" << Quote(cloud.Text()) << ",\"state\":"
-      << Quote(state.Text()) << "},\"cluster\":{\"size\":" << kCount << ",\"zones\":["
-      << Join(deployment.zones, Quote) << "],\"teams\":[" << Join(deployment.teams, team_text)
+      << "],\"external\":{\"cloud\":" << Quote(cloud.Text()) << ",\"state\":" << Quote(state.Text())
+      << "},\"cluster\":{\"size\":" << kCount << ",\"zones\":[" << Join(deployment.zones, Quote)
+      << "],\"teams\":[" << Join(deployment.teams, team_text)
       << "],\"objectives\":[],\"workers\":{\"report_s\":" << deployment.report_s
       << ",\"lease_s\":" << deployment.lease_s
       << ",\"gang_wait_s\":35.0,\"gang_peer_s\":8.0,\"cancel_s\":" << deployment.cancel_s
--- a/review/stage/platform.cc
+++ b/review/stage/platform.cc
@@ -68,8 +68,7 @@
 
 std::string JobDescription::Text() const {
   std::string type_names;
-  for (const std::string& type : types)
-    type_names += (type_names.empty() ? "" : ",") + Quote(type);
+  for (const std::string& type : types) type_names += (type_names.empty() ? "" : ",") + Quote(type);
   return "{\"name_id\":" + Quote(id) + ",\"clase\":" + Quote(job_class) +
          ",\"cuadrilla\":" + Quote(team) + ",\"forma\":" + Quote(kind) +
          ",\"rango\":" + Quote(priority) + ",\"faenas\":" + std::to_string(tasks) +
@@ -162,10 +161,10 @@
     std::string zones;
     for (const std::string& zone : type.zones) zones += (zones.empty() ? "" : ",") + Quote(zone);
     rows += (rows.empty() ? "" : ",") + ("{\"name\":" + Quote(type.name)) +
-            ",\"cores\":" + Number(type.cores) + ",\"gpus\":0,\"memory_gb\":" +
-            Number(type.memory_gb) + ",\"cache_gb\":50.0,\"pull_gb_per_s\":" +
-            Number(type.pull_gb_per_s) + ",\"hourly\":" + Number(type.hourly) +
-            ",\"low_price\":" + Number(type.hourly / 3) +
+            ",\"cores\":" + Number(type.cores) +
+            ",\"gpus\":0,\"memory_gb\":" + Number(type.memory_gb) +
+            ",\"cache_gb\":50.0,\"pull_gb_per_s\":" + Number(type.pull_gb_per_s) +
+            ",\"hourly\":" + Number(type.hourly) + ",\"low_price\":" + Number(type.hourly / 3) +
             ",\"startup_s\":" + Number(type.startup_s) + ",\"muelles\":[" + zones + "]}";
   }
   return Response(200, "{\"cascos\":[" + rows + "]}");
@@ -270,8 +269,8 @@
       rows += (count++ > 0 ? "," : "") + row;
     }
   }
-  return Response(200, "{\"cubiertas\":[" + rows +
-                           "],\"truncated\":" + (truncated ? "true" : "false") + "}");
+  return Response(
+      200, "{\"cubiertas\":[" + rows + "],\"truncated\":" + (truncated ? "true" : "false") + "}");
 }
 
 void Platform::Boot(Worker* worker) {
@@ -381,8 +380,8 @@
 
 void Platform::Execute(Worker* worker, const std::vector<Command>& commands) {
   for (const Command& command : commands) {
-    const auto task = std::find_if(
-        worker->tasks.begin(), worker->tasks.end(), [&command](const Task& known) {
+    const auto task =
+        std::find_if(worker->tasks.begin(), worker->tasks.end(), [&command](const Task& known) {
           return known.name == command.task && known.attempt == command.attempt;
         });
     const bool known = task != worker->tasks.end();
@@ -480,18 +479,18 @@
     record_->Write("report of " + worker->machine + " has " + std::to_string(report.size()) +
                    " bytes");
   }
-  worker->client->Call(
-      controllers_[worker->controller], {"POST", "/checkin", report, kReportTimeoutSeconds},
-      [this, worker, sent = worker->last_report_at,
-       session = worker->session](const deckhall::HttpResult& result) {
-        worker->awaiting_response = false;
-        if (!worker->IsUp()) return;
-        if (session == worker->session) {
-          HandleResponse(worker, sent, result);
-        } else {
-          worker->next_report_at = SteadySeconds();
-        }
-      });
+  worker->client->Call(controllers_[worker->controller],
+                       {"POST", "/checkin", report, kReportTimeoutSeconds},
+                       [this, worker, sent = worker->last_report_at,
+                        session = worker->session](const deckhall::HttpResult& result) {
+                         worker->awaiting_response = false;
+                         if (!worker->IsUp()) return;
+                         if (session == worker->session) {
+                           HandleResponse(worker, sent, result);
+                         } else {
+                           worker->next_report_at = SteadySeconds();
+                         }
+                       });
 }
 
 void Platform::TryNextController(Worker* worker, double delay_s) {
@@ -551,8 +550,7 @@
   if (!worker->IsUp()) return;
   if (now - worker->lease_since > options_.lease_s) BeginSession(worker);
   AdvanceTasks(worker, now);
-  const bool change_due =
-      worker->changed && now - worker->last_report_at >= kMinReportPauseSeconds;
+  const bool change_due = worker->changed && now - worker->last_report_at >= kMinReportPauseSeconds;
   // After a failure the worker waits before it tries the next controller.
   const bool waits = worker->next_report_at - worker->last_report_at > options_.report_s * 2;
   if (!worker->awaiting_response && (now >= worker->next_report_at || (change_due && !waits)))
@@ -610,14 +608,14 @@
 }
 
 size_t Platform::CountMachines() const {
-  return static_cast<size_t>(std::count_if(
-      workers_.begin(), workers_.end(),
-      [](const auto& entry) { return entry.second->state != "returned" && !entry.second->silent; }));
+  return static_cast<size_t>(std::count_if(workers_.begin(), workers_.end(), [](const auto& entry) {
+    return entry.second->state != "returned" && !entry.second->silent;
+  }));
 }
 
 size_t Platform::CountRented(const std::string& type, const std::string& zone) const {
-  return static_cast<size_t>(std::count_if(
-      workers_.begin(), workers_.end(), [&type, &zone](const auto& entry) {
+  return static_cast<size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [&type, &zone](const auto& entry) {
         return (type.empty() || entry.second->type == type) &&
                (zone.empty() || entry.second->zone == zone);
       }));
--- a/review/stage/state_service.cc
+++ b/review/stage/state_service.cc
@@ -119,8 +119,8 @@
       const auto entry = entries_.find(key);
       const uint64_t revision = entry == entries_.end() ? 0 : entry->second.revision;
       if (revision != condition["huella"].GetUint64()) {
-        return Response(409, "{\"failed\":[\"" + key +
-                                 "\"],\"marea\":" + std::to_string(revision_) + "}");
+        return Response(
+            409, "{\"failed\":[\"" + key + "\"],\"marea\":" + std::to_string(revision_) + "}");
       }
     }
   }
--- a/review/stage/users.cc
+++ b/review/stage/users.cc
@@ -19,7 +19,9 @@
       controllers_(std::move(controllers)),
       client_(loop, 16, 1 << 20) {}
 
-const deckhall::Endpoint& Users::NextController() { return controllers_[next_++ % controllers_.size()]; }
+const deckhall::Endpoint& Users::NextController() {
+  return controllers_[next_++ % controllers_.size()];
+}
 
 void Users::Later(double delay_s, std::function<void()> action) {
   timers_.push_back(std::make_unique<deckhall::Timer>(loop_, std::move(action)));
@@ -30,8 +32,8 @@
   platform_->Upload(job);
   client_.Call(NextController(), {"POST", "/api/jobs", job.Text(), kSubmitTimeoutSeconds},
                [this, job, done](const deckhall::HttpResult& result) {
-                 record_->Write("submission of " + job.id + " -> " +
-                                std::to_string(result.status) + " " + result.body);
+                 record_->Write("submission of " + job.id + " -> " + std::to_string(result.status) +
+                                " " + result.body);
                  const bool final = result.status == 200 || result.status == 201 ||
                                     result.status == 400 || result.status == 422;
                  if (final) {
@@ -43,10 +45,11 @@
 }
 
 void Users::Cancel(const std::string& job, std::function<void()> done) {
-  client_.Call(NextController(), {"POST", "/api/jobs/" + job + "/cancel", "", kSubmitTimeoutSeconds},
+  client_.Call(NextController(),
+               {"POST", "/api/jobs/" + job + "/cancel", "", kSubmitTimeoutSeconds},
                [this, job, done](const deckhall::HttpResult& result) {
-                 record_->Write("cancellation of " + job + " -> " +
-                                std::to_string(result.status) + " " + result.body);
+                 record_->Write("cancellation of " + job + " -> " + std::to_string(result.status) +
+                                " " + result.body);
                  if (result.status == 200) {
                    done();
                  } else {
