--- a/src/fleet/attempt_tracker.cc
+++ b/src/fleet/attempt_tracker.cc
@@ -107,6 +107,7 @@
 void AttemptTracker::ReleaseResources(MachineIndex machine_index, TaskAttempt* attempt) {
   if (attempt->released) return;
   attempt->released = true;
+  attempt->last_command_at = kNoCommandAt;
   NotifyReplicaChanged(*attempt);
   SubtractUsage((*machines_)[machine_index], *attempt);
   if (attempt->job != kNoIndex) ReleaseFromJob(machine_index, *attempt);
@@ -126,6 +127,7 @@
   attempt->grace_period_s = 0;
   attempt->stop_sent_at = kStopNotSentAt;
   attempt->first_stop_sent_at = -1;
+  attempt->last_command_at = kNoCommandAt;
   NotifyReplicaChanged(*attempt);
   machines_->InvalidateMachine(machine_index);
 }
@@ -228,13 +230,20 @@
     attempt->stop_sent_at = kStopNotSentAt;
   }
   attempt->wanted = false;
+  attempt->last_command_at = kNoCommandAt;
   NotifyReplicaChanged(*attempt);
   attempt->grace_period_s = grace_period_s;
 }
 
+std::vector<MachineIndex> AttemptTracker::DistinctMachinesOf(JobIndex job_index) const {
+  std::vector<MachineIndex> machines = (*job_store_)[job_index].machines;
+  std::sort(machines.begin(), machines.end());
+  machines.erase(std::unique(machines.begin(), machines.end()), machines.end());
+  return machines;
+}
+
 void AttemptTracker::RequestStopOfJob(JobIndex job_index) {
-  const std::vector<MachineIndex> job_machines = (*job_store_)[job_index].machines;
-  for (MachineIndex machine_index : job_machines) {
+  for (MachineIndex machine_index : DistinctMachinesOf(job_index)) {
     for (TaskAttempt& attempt : (*machines_)[machine_index].attempts) {
       if (attempt.job == job_index && !attempt.released) RequestStop(machine_index, &attempt, 0);
     }
@@ -242,7 +251,7 @@
 }
 
 void AttemptTracker::RequestStopOfUnreported(JobIndex job_index) {
-  for (MachineIndex machine_index : (*job_store_)[job_index].machines) {
+  for (MachineIndex machine_index : DistinctMachinesOf(job_index)) {
     for (TaskAttempt& attempt : (*machines_)[machine_index].attempts) {
       if (attempt.job == job_index && !attempt.released && !attempt.reported)
         RequestStop(machine_index, &attempt, 0);
--- a/src/fleet/attempt_tracker.h
+++ b/src/fleet/attempt_tracker.h
@@ -76,6 +76,8 @@
   void NotifyReplicaChanged(const TaskAttempt& attempt);
 
  private:
+  // The machines with attempts of the job that hold resources, each once.
+  std::vector<MachineIndex> DistinctMachinesOf(JobIndex job_index) const;
   // Notifies the observer that a task of an active array is stopped before it is done.
   void NotifyArrayTaskStopped(const TaskAttempt& attempt);
   // Copies the job's resources and scheduling class into the attempt.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -108,6 +108,9 @@
   HeartbeatVersion VersionOf(MachineIndex machine_index) const {
     return {machines_[machine_index].agent_epoch, machines_[machine_index].sequence};
   }
+  // Records that the agent refused a message without executing any of its commands, so that stops
+  // in it do not count as sent.
+  void RecordRefused(MachineIndex machine_index) { commands_.RecordRefused(machine_index); }
   // Records that a command or probe got no usable response.
   void RecordUnreachable(MachineIndex machine_index) {
     heartbeats_.RecordUnreachable(machine_index);
@@ -129,17 +132,16 @@
 
   // The commands to send now by `channel`; includes launches only if `may_launch`. May raise the
   // fencing token with which they must be sent.
-  std::vector<Command> BuildCommands(MachineIndex machine_index, bool may_launch,
-                                     CommandChannel channel) {
+  CommandBatch BuildCommands(MachineIndex machine_index, bool may_launch, CommandChannel channel) {
     return commands_.BuildCommands(machine_index, may_launch, channel);
   }
-  // Stops for all attempts to be stopped, including stops that were sent before.
-  std::vector<Command> BuildStops(MachineIndex machine_index) {
+  // Stops for attempts to be stopped, including stops that were sent before.
+  CommandBatch BuildStops(MachineIndex machine_index) {
     return commands_.BuildStops(machine_index);
   }
-  // Stops for the tasks in `heartbeat` whose jobs have ended.
-  std::vector<Command> BuildStopsOfEndedJobs(const Heartbeat& heartbeat) const {
-    return commands_.BuildStopsOfEndedJobs(heartbeat);
+  // Stops for the tasks in the machine's `heartbeat` whose jobs have ended.
+  CommandBatch BuildStopsOfEndedJobs(MachineIndex machine_index, const Heartbeat& heartbeat) {
+    return commands_.BuildStopsOfEndedJobs(machine_index, heartbeat);
   }
   // Whether commands should be sent now.
   bool HasCommands(MachineIndex machine_index, bool may_launch) const {
--- a/src/fleet/http_worker_client.cc
+++ b/src/fleet/http_worker_client.cc
@@ -8,6 +8,13 @@
 #include "wire/worker_codec.h"
 
 namespace deckhall {
+namespace {
+
+constexpr int kHttpConflict = 409;
+
+bool IsRefusal(int status) { return status >= 400 && status < 500 && status != kHttpConflict; }
+
+}  // namespace
 
 void HttpWorkerClient::Send(const std::string& endpoint, const HttpCall& call, Done done) {
   Endpoint to;
@@ -18,7 +25,8 @@
   http_.Call(to, call, [endpoint, done = std::move(done)](const HttpResult& result) {
     WorkerResponse response;
     response.sent = result.sent;
-    if (result.status == 200 || result.status == 409) {
+    response.refused = IsRefusal(result.status);
+    if (result.status == 200 || result.status == kHttpConflict) {
       std::optional<Heartbeat> heartbeat = DecodeHeartbeat(result.body);
       response.has_heartbeat = heartbeat.has_value();
       if (heartbeat) {
@@ -27,13 +35,13 @@
         spdlog::warn("endpoint={}: worker response contains no valid heartbeat", endpoint);
       }
     }
-    if (response.has_heartbeat) response.status = result.status;
+    if (response.has_heartbeat || response.refused) response.status = result.status;
     done(std::move(response));
   });
 }
 
 void HttpWorkerClient::SendCommands(const std::string& endpoint, uint64_t fencing_token,
-                                    uint64_t agent_epoch, const std::vector<Command>& commands,
+                                    uint64_t agent_epoch, const CommandBatch& commands,
                                     double timeout_s, Done done) {
   Send(endpoint, {"POST", "/do", EncodeCommands(fencing_token, agent_epoch, commands), timeout_s},
        std::move(done));
--- a/src/fleet/http_worker_client.h
+++ b/src/fleet/http_worker_client.h
@@ -10,7 +10,7 @@
  public:
   HttpWorkerClient(Loop* loop, size_t connections) : http_(loop, connections, 1 << 20) {}
   void SendCommands(const std::string& endpoint, uint64_t fencing_token, uint64_t agent_epoch,
-                    const std::vector<Command>& commands, double timeout_s, Done done) override;
+                    const CommandBatch& commands, double timeout_s, Done done) override;
   void Probe(const std::string& endpoint, double timeout_s, Done done) override;
   // Closes connections that have been idle for 30 s.
   void Trim() { http_.CloseIdleConnections(30); }
--- a/src/fleet/task_name.cc
+++ b/src/fleet/task_name.cc
@@ -20,4 +20,9 @@
   return job_id + "/" + std::to_string(task_index);
 }
 
+size_t MaxTaskNameBytes(const std::string& job_id, uint32_t task_count) {
+  const uint32_t last_index = task_count == 0 ? 0 : task_count - 1;
+  return FormatTaskName(job_id, last_index).size();
+}
+
 }  // namespace deckhall
--- a/src/fleet/task_name.h
+++ b/src/fleet/task_name.h
@@ -1,6 +1,7 @@
 // The name of a task on the wire: "<job id>/<task index>", as in "job-000412/3".
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,4 +18,7 @@
 
 std::string FormatTaskName(const std::string& job_id, uint32_t task_index);
 
+// Length of the longest name of the job's tasks.
+size_t MaxTaskNameBytes(const std::string& job_id, uint32_t task_count);
+
 }  // namespace deckhall
--- a/src/leader/autoscaler.cc
+++ b/src/leader/autoscaler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "wire/worker_codec.h"
+
 namespace deckhall {
 namespace {
 
@@ -49,7 +51,8 @@
   offering.zone = pool.zone;
   offering.spot = pool.spot;
   if (type != nullptr) {
-    offering += Resources{type->cores, type->gpus, type->memory_gb};
+    offering += Resources{type->cores, type->gpus, type->memory_gb,
+                          static_cast<double>(kHeartbeatTaskBytes)};
     offering.hourly_price = pool.spot ? type->spot_price : type->price;
     offering.boot_s = type->boot_s;
   }
--- a/src/leader/command_dispatcher.cc
+++ b/src/leader/command_dispatcher.cc
@@ -54,13 +54,13 @@
   const bool send_token = !machine.reconciled && (machine.may_run_former_attempts || machine.up);
   const bool may_launch = deps_.lease_expiry_bounds->HasNoBound(machine_index);
   if (!send_token && (!machine.up || !deps_.fleet->HasCommands(machine_index, may_launch))) return;
-  const std::vector<Command> commands =
+  const CommandBatch commands =
       deps_.fleet->BuildCommands(machine_index, may_launch, CommandChannel::kDirect);
   if (commands.empty() && !send_token && Fleet::HasAcknowledgedToken(machine)) return;
   Send(machine_index, commands);
 }
 
-void CommandDispatcher::Send(MachineIndex machine_index, const std::vector<Command>& commands) {
+void CommandDispatcher::Send(MachineIndex machine_index, const CommandBatch& commands) {
   Machine& machine = (*deps_.fleet)[machine_index];
   machine.command_in_flight = true;
   budget_.Take(deps_.clock->Now(), 1, kUnlimitedDebt);
@@ -80,9 +80,13 @@
   machine.command_in_flight = false;
   if (machine.removed) return;
   const bool from_machine = response.has_heartbeat && response.heartbeat.machine == machine.name;
-  deps_.reachability_monitor->RecordOutcome(machine, from_machine);
+  deps_.reachability_monitor->RecordOutcome(machine, from_machine || response.refused);
   if (!from_machine || response.status == kHttpConflict)
     deps_.command_log->LogFailure(machine, response);
+  if (response.refused) {
+    HandleRefusal(machine_index);
+    return;
+  }
   if (!from_machine) {
     HandleMissingResponse(machine_index, response);
     return;
@@ -104,14 +108,24 @@
   PushCommands(machine_index);
 }
 
+void CommandDispatcher::BackOff(Machine* machine) const {
+  ++machine->command_failures;
+  const int doublings = std::min(machine->command_failures, kMaxCommandBackoffDoublings);
+  machine->command_backoff_until =
+      deps_.clock->Now() +
+      std::min(kMaxCommandBackoffSeconds, kCommandBackoffSeconds * std::pow(2.0, doublings));
+}
+
+void CommandDispatcher::HandleRefusal(MachineIndex machine_index) {
+  BackOff(&(*deps_.fleet)[machine_index]);
+  deps_.fleet->RecordRefused(machine_index);
+  deps_.fleet->MarkChanged(machine_index);
+}
+
 void CommandDispatcher::HandleMissingResponse(MachineIndex machine_index,
                                               const WorkerResponse& response) {
   Machine& machine = (*deps_.fleet)[machine_index];
-  ++machine.command_failures;
-  const int doublings = std::min(machine.command_failures, kMaxCommandBackoffDoublings);
-  machine.command_backoff_until =
-      deps_.clock->Now() +
-      std::min(kMaxCommandBackoffSeconds, kCommandBackoffSeconds * std::pow(2.0, doublings));
+  BackOff(&machine);
   deps_.fleet->RecordUnreachable(machine_index);
   if (response.has_heartbeat) {
     deps_.heartbeat_validator->RecordImplausible(machine.name,
--- a/src/leader/command_dispatcher.h
+++ b/src/leader/command_dispatcher.h
@@ -4,12 +4,11 @@
 // token to machines that are not reconciled. At most one request per machine is in flight. Nothing
 // is sent without a valid lease, and no launch while a bound on the machine's lease expiry is in
 // effect. A command that got no response may still arrive, so the machine's fencing token is raised
-// before the next one. Direct commands renew no lease. Owned by Leader.
+// before the next one. Commands that find no room in a message go out in another one as soon as
+// the machine has responded. Direct commands renew no lease. Owned by Leader.
 // PROTOCOL: "POST /do", "Delayed messages".
 #pragma once
 
-#include <vector>
-
 #include "config/settings.h"
 #include "config/tuning.h"
 #include "fleet/worker_client.h"
@@ -47,9 +46,14 @@
  private:
   void PushCommands(MachineIndex machine_index);
   bool MaySendNow(const Machine& machine) const;
-  void Send(MachineIndex machine_index, const std::vector<Command>& commands);
+  void Send(MachineIndex machine_index, const CommandBatch& commands);
   void HandleResponse(MachineIndex machine_index, const WorkerResponse& response,
                       HeartbeatVersion version);
+  // Delays the machine's next command, for longer after each failure.
+  void BackOff(Machine* machine) const;
+  // Handles a request that the agent refused without executing it. The agent is reachable, and the
+  // request can't be executed late.
+  void HandleRefusal(MachineIndex machine_index);
   // Handles a request without response, or with one from another machine at this endpoint.
   void HandleMissingResponse(MachineIndex machine_index, const WorkerResponse& response);
 
--- a/src/leader/command_log.cc
+++ b/src/leader/command_log.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <string>
 
 namespace deckhall {
@@ -11,6 +12,8 @@
 constexpr double kLinesPerSecond = 200;
 constexpr double kBurstLines = 2000;
 constexpr double kSummaryIntervalSeconds = 60;
+// Bounds the length of a line.
+constexpr size_t kMaxLoggedCommands = 32;
 
 const char* OperationName(CommandOp operation) {
   switch (operation) {
@@ -24,16 +27,20 @@
   return "";
 }
 
-// For instance "clear:job-000412/3@16777977,launch:job-000398/0@16777990".
-std::string FormatCommands(const std::vector<Command>& commands) {
+// For instance "clear:job-000412/3@16777977,launch:job-000398/0@16777990"; ends in ",more:7" if
+// there are 7 commands beyond the limit.
+std::string FormatCommands(const CommandBatch& commands) {
   std::string text;
-  for (const Command& command : commands) {
+  const size_t logged = std::min(commands.size(), kMaxLoggedCommands);
+  for (size_t i = 0; i < logged; ++i) {
+    const Command& command = commands[i];
     if (!text.empty()) text += ',';
     text += OperationName(command.operation);
     text += command.task_name;
     text += '@';
     text += std::to_string(command.attempt);
   }
+  if (commands.size() > logged) text += ",more:" + std::to_string(commands.size() - logged);
   return text;
 }
 
@@ -42,7 +49,7 @@
 CommandLog::CommandLog(const LeadershipLease* lease, const Clock* clock, uint64_t term)
     : lease_(lease), clock_(clock), term_(term), lines_(kLinesPerSecond, kBurstLines) {}
 
-void CommandLog::LogCommands(const Machine& machine, const std::vector<Command>& commands,
+void CommandLog::LogCommands(const Machine& machine, const CommandBatch& commands,
                              CommandChannel channel) {
   if (commands.empty()) return;
   for (const Command& command : commands) Count(command);
--- a/src/leader/command_log.h
+++ b/src/leader/command_log.h
@@ -26,8 +26,7 @@
 
   // Logs commands that are sent to the machine under its current token; does nothing if there are
   // none.
-  void LogCommands(const Machine& machine, const std::vector<Command>& commands,
-                   CommandChannel channel);
+  void LogCommands(const Machine& machine, const CommandBatch& commands, CommandChannel channel);
   // Logs a direct message that was not executed, or of which this is not known.
   void LogFailure(const Machine& machine, const WorkerResponse& response);
   // Writes the summary if it is due. `tokens_raised` counts since the begin of the term; `now` is
--- a/src/leader/demand_collector.cc
+++ b/src/leader/demand_collector.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "wire/worker_codec.h"
+
 namespace deckhall {
 namespace {
 
@@ -20,13 +22,16 @@
 }
 
 // Adds to an equal demand at position `from` or later, or appends a new one. The planner's work
-// thus grows with the number of distinct requests, not of jobs.
+// thus grows with the number of distinct requests, not of jobs. Lengths of task names don't make
+// requests distinct; the longest one counts.
 void AddDemand(std::vector<ResourceDemand>* demands, size_t from, const ResourceRequest& request,
                uint32_t count) {
   for (size_t i = from; i < demands->size(); ++i) {
     ResourceDemand& demand = (*demands)[i];
     if (demand.single_zone || !IsSameRequest(demand.request, request)) continue;
     demand.count += count;
+    demand.request.heartbeat_bytes =
+        std::max(demand.request.heartbeat_bytes, request.heartbeat_bytes);
     return;
   }
   ResourceDemand demand;
@@ -111,6 +116,7 @@
   ResourceRequest request;
   request.cores = replica_cores;
   request.memory_gb = free_capacity_->largest_replica_memory_gb();
+  request.heartbeat_bytes = static_cast<double>(MaxTaskStatusBytes(kMaxTaskNameBytes));
   // Cores of ordinary machines that preemptible tasks use count as headroom.
   const double headroom = free_capacity_->headroom();
   const double missing = std::max(0.0, headroom - free_capacity_->preemptible_reserve());
--- a/src/leader/free_capacity.cc
+++ b/src/leader/free_capacity.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
+#include "fleet/task_name.h"
+#include "wire/worker_codec.h"
+
 namespace deckhall {
 namespace {
 
@@ -12,14 +15,20 @@
 constexpr double kRecentHeartbeatIntervals = 1.6;
 constexpr int kUnreachableProbes = 2;
 
+double HeartbeatBytes(const TaskAttempt& attempt) {
+  return static_cast<double>(MaxTaskStatusBytes(attempt.task_name.size()));
+}
+
 }  // namespace
 
 Resources TaskResources(const Job& job) {
-  return {job.spec.cores, job.spec.gpus, job.spec.memory_gb};
+  const size_t name_bytes = MaxTaskNameBytes(job.id, job.spec.task_count);
+  return {job.spec.cores, job.spec.gpus, job.spec.memory_gb,
+          static_cast<double>(MaxTaskStatusBytes(name_bytes))};
 }
 
 Resources AttemptResources(const TaskAttempt& attempt) {
-  return {attempt.cores, attempt.gpus, attempt.memory_gb};
+  return {attempt.cores, attempt.gpus, attempt.memory_gb, HeartbeatBytes(attempt)};
 }
 
 FreeCapacity::FreeCapacity(JobStore* job_store, Fleet* fleet, Provisioner* provisioner,
@@ -89,11 +98,14 @@
   } else {
     capacity.total_cores = capacity.cores = capacity.gpus = capacity.memory_gb = 0;
   }
+  capacity.heartbeat_bytes = static_cast<double>(kHeartbeatTaskBytes);
   if (auto reserved = reserved_.find(machine_index); reserved != reserved_.end()) {
     capacity -= reserved->second;
   }
   capacity.fetching_images.clear();
   for (const TaskAttempt& attempt : machine.attempts) {
+    // Exited attempts are listed until their exits are acknowledged.
+    capacity.heartbeat_bytes -= HeartbeatBytes(attempt);
     const bool fetching = !attempt.reported || attempt.state == TaskState::kFetching;
     if (attempt.released || !attempt.wanted || attempt.job == kNoIndex || !fetching) continue;
     capacity.fetching_images.push_back((*job_store_)[attempt.job].image);
--- a/src/leader/gang_placer.cc
+++ b/src/leader/gang_placer.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <optional>
 
+#include "wire/worker_codec.h"
+
 namespace deckhall {
 namespace {
 
@@ -209,6 +211,9 @@
     return capacities[a].cores > capacities[b].cores;
   });
   const auto needed = static_cast<double>(job.waiting_tasks.size());
+  // As on an empty machine; the tasks of arrays that are listed now will be gone.
+  const double slots_by_heartbeat =
+      std::floor(static_cast<double>(kHeartbeatTaskBytes) / request.heartbeat_bytes);
   double free_slots = 0;
   size_t machine_count = 0;
   while (machine_count < machines.size() && free_slots < needed) {
@@ -216,8 +221,9 @@
     const MachineIndex machine_index = machines[machine_count];
     const double cores =
         capacities[machine_index].cores + (*fleet_)[machine_index].preemptible_cores;
-    free_slots += std::floor(std::max(0.0, cores) / std::max(job.spec.cores, kResourceEpsilon) +
-                             kResourceEpsilon);
+    const double slots_by_cores = std::floor(
+        std::max(0.0, cores) / std::max(job.spec.cores, kResourceEpsilon) + kResourceEpsilon);
+    free_slots += std::min(slots_by_cores, slots_by_heartbeat);
     ++machine_count;
   }
   if (free_slots < needed) return {};
--- a/src/leader/heartbeat_handler.cc
+++ b/src/leader/heartbeat_handler.cc
@@ -74,7 +74,7 @@
   }
   // The worker may nevertheless take this response as a renewal of its lease, so the tasks of ended
   // jobs must be stopped.
-  response.commands = deps_.fleet->BuildStopsOfEndedJobs(heartbeat);
+  response.commands = deps_.fleet->BuildStopsOfEndedJobs(machine_index, heartbeat);
   return response;
 }
 
@@ -104,7 +104,7 @@
     // Tasks are adopted only after the machine has shown a token of this term. But this response
     // renews the machine's lease and may be the last one of this term, so cancelled tasks must be
     // stopped with it.
-    response.commands = deps_.fleet->BuildStopsOfEndedJobs(heartbeat);
+    response.commands = deps_.fleet->BuildStopsOfEndedJobs(machine_index, heartbeat);
   } else if (machine.command_in_flight || machine.scaling_in) {
     // In a partition, direct commands may be lost repeatedly, and the cloud may be down. So every
     // response includes the stop commands; otherwise a cancelled task could exceed its time limit.
--- a/src/leader/placer.cc
+++ b/src/leader/placer.cc
@@ -59,7 +59,8 @@
 bool Placer::FailedRequest::Covers(const ResourceRequest& request) const {
   const bool as_large = request.cores + kResourceEpsilon >= resources.cores &&
                         request.memory_gb + kResourceEpsilon >= resources.memory_gb &&
-                        request.gpus + kResourceEpsilon >= resources.gpus;
+                        request.gpus + kResourceEpsilon >= resources.gpus &&
+                        request.heartbeat_bytes >= resources.heartbeat_bytes;
   const bool same_zones = required_zone == UINT32_MAX || required_zone == request.required_zone;
   const bool same_kinds = spot_tolerant || !request.spot_tolerant;
   const bool same_types = allowed_types == nullptr || (request.allowed_types != nullptr &&
--- a/src/leader/scoped_services.cc
+++ b/src/leader/scoped_services.cc
@@ -53,7 +53,7 @@
 }
 
 void ScopedWorkerClient::SendCommands(const std::string& endpoint, uint64_t fencing_token,
-                                      uint64_t agent_epoch, const std::vector<Command>& commands,
+                                      uint64_t agent_epoch, const CommandBatch& commands,
                                       double timeout_s, Done done) {
   service_->SendCommands(endpoint, fencing_token, agent_epoch, commands, timeout_s,
                          scope_->Bind(std::move(done)));
--- a/src/leader/scoped_services.h
+++ b/src/leader/scoped_services.h
@@ -60,7 +60,7 @@
       : service_(service), scope_(scope) {}
 
   void SendCommands(const std::string& endpoint, uint64_t fencing_token, uint64_t agent_epoch,
-                    const std::vector<Command>& commands, double timeout_s, Done done) override;
+                    const CommandBatch& commands, double timeout_s, Done done) override;
   void Probe(const std::string& endpoint, double timeout_s, Done done) override;
 
  private:
--- a/src/model/task_attempt.h
+++ b/src/model/task_attempt.h
@@ -20,6 +20,8 @@
 // Value of TaskAttempt::stop_sent_at when no stop was sent: far enough in the past that a stop is
 // due at once.
 constexpr double kStopNotSentAt = -1e9;
+// Value of TaskAttempt::last_command_at when no command was sent.
+constexpr double kNoCommandAt = -1e9;
 
 struct TaskAttempt {
   // Identity.
@@ -35,6 +37,9 @@
   // Commands sent.
   double stop_sent_at = kStopNotSentAt;  // last stop command
   double first_stop_sent_at = -1;        // negative if none was sent
+  // Last message with the command that it needs now: its launch, its stop, or the acknowledgement
+  // of its exit.
+  double last_command_at = kNoCommandAt;
   // Highest token with which a launch of it may have been sent; 0 if none was, or if the agent
   // rejects them all.
   uint64_t launch_fencing_token = 0;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -104,6 +104,7 @@
   if (result == HttpParser::Result::kError) {
     HttpResponse response;
     response.status = c->parser.error_status();
+    LogRefusal(response.status);
     response.body = EncodeError("malformed request");
     response.close = true;
     SendResponse(c, response);
@@ -120,6 +121,14 @@
   });
 }
 
+void HttpServer::LogRefusal(int status) {
+  const double now = loop_->Now();
+  if (now - refusal_logged_at_ < kLimitLogIntervalSeconds) return;
+  refusal_logged_at_ = now;
+  spdlog::warn("status={} max_body_bytes={}: request refused: malformed or too large", status,
+               limits_.body_bytes);
+}
+
 void HttpServer::SendResponse(Conn* c, const HttpResponse& response) {
   const bool close = response.close || !c->keep_alive;
   std::string out = "HTTP/1.1 " + std::to_string(response.status) + " " +
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -11,6 +11,7 @@
 #include "net/deferred_deletion.h"
 #include "net/tcp.h"
 #include "wire/http_parser.h"
+#include "wire/message_limits.h"
 
 namespace deckhall {
 
@@ -25,7 +26,7 @@
 struct HttpServerLimits {
   size_t connections = 1000;
   size_t head_bytes = 16 << 10;
-  size_t body_bytes = 64 << 10;
+  size_t body_bytes = kMaxMessageBytes;
   double request_timeout_s = 10;   // for receiving a whole request
   double idle_timeout_s = 120;     // between two requests
   double response_timeout_s = 20;  // for sending a whole response to a slow client
@@ -62,6 +63,8 @@
   void OnAccept(std::unique_ptr<TcpConn> tcp);
   void OnData(Conn* c, std::string_view bytes);
   void Handle(Conn* c, HttpParser::Result result);
+  // Logs some of the refusals, since any client can cause them.
+  void LogRefusal(int status);
   void SendResponse(Conn* c, const HttpResponse& response);
   void Drop(uint64_t id);
   void CloseTimedOutConnections();
@@ -79,6 +82,7 @@
   std::list<Conn*> idle_;
   uint64_t over_limit_connections_ = 0;
   double limit_logged_at_ = -1e9;
+  double refusal_logged_at_ = -1e9;
   DeferredDeletion<Conn> dropped_;
   Timer timeout_timer_;
   TcpListener listener_;
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -96,7 +96,8 @@
 bool Fits(const ResourceRequest& request, const MachineCapacity& capacity) {
   return capacity.cores + kResourceEpsilon >= request.cores &&
          capacity.gpus + kResourceEpsilon >= request.gpus &&
-         capacity.memory_gb + kResourceEpsilon >= request.memory_gb;
+         capacity.memory_gb + kResourceEpsilon >= request.memory_gb &&
+         capacity.heartbeat_bytes + kResourceEpsilon >= request.heartbeat_bytes;
 }
 
 BestFitQueue::BestFitQueue(const ResourceRequest* request,
--- a/src/sched/scale_out_plan.cc
+++ b/src/sched/scale_out_plan.cc
@@ -25,6 +25,8 @@
     slots = std::min(slots, std::floor(offering.memory_gb / request.memory_gb + kRatioEpsilon));
   if (request.gpus > 0)
     slots = std::min(slots, std::floor(offering.gpus / request.gpus + kRatioEpsilon));
+  if (request.heartbeat_bytes > 0)
+    slots = std::min(slots, std::floor(offering.heartbeat_bytes / request.heartbeat_bytes));
   return slots;
 }
 
--- a/src/wire/job_codec.cc
+++ b/src/wire/job_codec.cc
@@ -35,6 +35,8 @@
 constexpr double kMaxAmount = 1e9;
 constexpr size_t kMaxNameBytes = 200;
 constexpr size_t kMaxAllowedTypes = 1000;
+// Bounds the response, since a peer may have written the error.
+constexpr size_t kMaxErrorBytes = 1000;
 
 constexpr EnumWord<Priority> kPriorityWords[] = {{Priority::kIdle, "idle"},
                                                  {Priority::kNormal, "normal"},
@@ -287,7 +289,7 @@
   rapidjson::StringBuffer buffer;
   JsonWriter writer(buffer);
   writer.StartObject();
-  PutString(writer, "error", error);
+  PutString(writer, "error", error.substr(0, kMaxErrorBytes));
   writer.EndObject();
   return buffer.GetString();
 }
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -262,7 +262,10 @@
   response.status = reader.getStatus();
   response.fencing_token = reader.getToken();
   response.redirect_to = ToString(reader.getReportTo());
-  for (auto command : reader.getCommands()) response.commands.push_back(ReadCommand(command));
+  std::vector<Command> commands;
+  for (auto command : reader.getCommands()) commands.push_back(ReadCommand(command));
+  // The leader may run a version that does not bound its messages to workers.
+  response.commands = CommandBatch::Of(commands);
   return response;
 }
 
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "wire/command_batch.h"
+
 namespace deckhall {
 
 // Priority of a job. A job may preempt jobs of lower priority.
@@ -92,17 +94,6 @@
   std::vector<TaskStatus> tasks;
 };
 
-// kAcknowledgeExit lets the worker discard its record of an exited attempt.
-enum class CommandOp : uint8_t { kStart = 0, kStop = 1, kAcknowledgeExit = 2 };
-
-// Instruction to a worker about one task attempt.
-struct Command {
-  CommandOp operation = CommandOp::kStart;
-  std::string task_name;
-  uint64_t attempt = 0;
-  double grace_period_s = 0;  // only with kStop: time to write a checkpoint
-};
-
 // Response to a heartbeat. 200 renews the worker's lease and carries commands under the fencing
 // token, 421 redirects the worker to another controller, and 503 asks it to retry here or
 // elsewhere.
@@ -110,7 +101,7 @@
   int status = 503;
   uint64_t fencing_token = 0;
   std::string redirect_to;  // with 421: the leader's label, empty if unknown
-  std::vector<Command> commands;
+  CommandBatch commands;
 };
 
 enum class JobOperation : uint8_t { kGet = 0, kCancel = 1, kSubmit = 2 };
--- a/src/wire/worker_codec.cc
+++ b/src/wire/worker_codec.cc
@@ -25,11 +25,14 @@
 
 #include "wire/enum_words.h"
 #include "wire/json.h"
+#include "wire/message_limits.h"
 
 namespace deckhall {
 namespace {
 
 constexpr size_t kMaxMachineNameBytes = 100;
+// A worker does not need the label of the leader, so a longer one is left out.
+constexpr size_t kMaxLabelBytes = 1000;
 
 constexpr EnumWord<TaskState> kTaskStateWords[] = {{TaskState::kFetching, "pulling"},
                                                    {TaskState::kRunning, "running"},
@@ -62,6 +65,7 @@
       !JsonString(row, "estado", &word)) {
     return std::nullopt;
   }
+  if (status.task_name.size() > kMaxTaskNameBytes) return std::nullopt;
   const std::optional<TaskState> state = EnumOf(kTaskStateWords, word);
   if (!state) return std::nullopt;
   status.state = *state;
@@ -123,26 +127,57 @@
   return CommandReading::kRead;
 }
 
-void WriteCommands(JsonWriter& writer, const std::vector<Command>& commands) {
+void WriteCommand(JsonWriter& writer, const Command& command) {
+  writer.StartObject();
+  PutString(writer, "maniobra", WordOf(kCommandWords, command.operation));
+  PutString(writer, "faena", command.task_name);
+  writer.Key("intento");
+  writer.Uint64(command.attempt);
+  if (command.operation == CommandOp::kStop) {
+    writer.Key("tregua_s");
+    writer.Double(command.grace_period_s);
+  }
+  writer.EndObject();
+}
+
+void WriteCommands(JsonWriter& writer, const CommandBatch& commands) {
   writer.Key("ordenes");
   writer.StartArray();
-  for (const Command& command : commands) {
-    writer.StartObject();
-    PutString(writer, "maniobra", WordOf(kCommandWords, command.operation));
-    PutString(writer, "faena", command.task_name);
-    writer.Key("intento");
-    writer.Uint64(command.attempt);
-    if (command.operation == CommandOp::kStop) {
-      writer.Key("tregua_s");
-      writer.Double(command.grace_period_s);
-    }
-    writer.EndObject();
-  }
+  for (const Command& command : commands) WriteCommand(writer, command);
   writer.EndArray();
 }
 
+// Length of the text without its terminating zero.
+template <size_t N>
+constexpr size_t LengthOf(const char (&)[N]) {
+  return N - 1;
+}
+
+// Longest names and numbers of a heartbeat's fields, apart from its tasks. The endpoint, the
+// machine type and the zone have 200 bytes each.
+constexpr size_t kMaxHeartbeatHeaderBytes = 1024;
+// The longest row, without the name of its task. It has five fields.
+constexpr size_t kMaxTaskStatusBytesWithoutName =
+    LengthOf(R"({"faena": "", "intento": 18446744073709551615, "estado": "ended", )"
+             R"("motivo": "incomplete", "saved": false}, )");
+
 }  // namespace
 
+const size_t kMaxCommandEnvelopeBytes =
+    LengthOf(R"({"mando":18446744073709551615,"guardia":18446744073709551615,"ordenes":[]})");
+const size_t kHeartbeatTaskBytes = kMaxMessageBytes - kMaxHeartbeatHeaderBytes;
+
+size_t EncodedBytes(const Command& command) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter writer(buffer);
+  WriteCommand(writer, command);
+  return buffer.GetSize();
+}
+
+size_t MaxTaskStatusBytes(size_t task_name_bytes) {
+  return kMaxTaskStatusBytesWithoutName + task_name_bytes;
+}
+
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view body) {
   rapidjson::Document document;
   if (!ParseJson(body, &document) || !document.IsObject()) return std::nullopt;
@@ -214,7 +249,7 @@
     writer.Key("mando");
     writer.Uint64(response.fencing_token);
     WriteCommands(writer, response.commands);
-  } else if (!response.redirect_to.empty()) {
+  } else if (!response.redirect_to.empty() && response.redirect_to.size() <= kMaxLabelBytes) {
     PutString(writer, "capitan", response.redirect_to);
   } else {
     PutString(writer, "error", "no leader");
@@ -224,7 +259,7 @@
 }
 
 std::string EncodeCommands(uint64_t fencing_token, uint64_t agent_epoch,
-                           const std::vector<Command>& commands) {
+                           const CommandBatch& commands) {
   rapidjson::StringBuffer buffer;
   JsonWriter writer(buffer);
   writer.StartObject();
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <stdexcept>
 
+#include "wire/worker_codec.h"
+
 namespace deckhall {
 namespace {
 
@@ -352,7 +354,14 @@
     cluster->Deliver(process->name, name, [deliver] { (*deliver)(); });
   }
   void SendCommands(const std::string& endpoint, uint64_t token, uint64_t agent_epoch,
-                    const std::vector<Command>& commands, double timeout, Done done) override {
+                    const CommandBatch& commands, double timeout, Done done) override {
+    const std::string body = EncodeCommands(token, agent_epoch, commands);
+    if (!owner->oracle->ObserveMessage(owner->clock_.now, "commands to " + endpoint, body)) {
+      WorkerResponse refusal;
+      refusal.sent = refusal.refused = true;
+      owner->ScheduleAfter(owner->Delay(), [done, refusal] { done(refusal); });
+      return;
+    }
     owner->RecordStops(token, commands);
     SendRequest(
         endpoint, true, timeout,
@@ -661,7 +670,7 @@
   for (const std::function<void()>& arrive : executed) arrive();
 }
 
-void Cluster::RecordStops(uint64_t token, const std::vector<Command>& commands) {
+void Cluster::RecordStops(uint64_t token, const CommandBatch& commands) {
   for (const Command& command : commands) {
     if (command.operation == CommandOp::kStop)
       first_stop_sent_.try_emplace({command.task_name, command.attempt, TermOf(token)}, clock_.now);
@@ -708,6 +717,13 @@
   return cores;
 }
 
+double Cluster::FreeReportBytes(const SimWorker& worker) {
+  size_t used = kProtocolReportHeadBytes;
+  for (const TaskStatus& status : worker.heartbeat.tasks)
+    used += kProtocolReportRowBytes + status.task_name.size();
+  return static_cast<double>(kProtocolMessageBytes) - static_cast<double>(used);
+}
+
 void Cluster::Launch(SimWorker* worker, double commanded_at, const Command& command) {
   std::string job;
   uint32_t task = 0;
@@ -743,7 +759,7 @@
 }
 
 void Cluster::Execute(SimWorker* worker, double commanded_at, uint64_t token,
-                      const std::vector<Command>& commands) {
+                      const CommandBatch& commands) {
   if (token > worker->heartbeat.fencing_token)
     worker->next_heartbeat_at = std::min(worker->next_heartbeat_at, clock_.now + 0.5);
   worker->heartbeat.fencing_token = std::max(worker->heartbeat.fencing_token, token);
@@ -801,7 +817,8 @@
   auto process = processes_[worker.controller_index];
   const ActivePartition* partition = Blocked(name, NodeName(worker.controller_index));
   if (!process || clock_.now < worker.heartbeats_lost_until ||
-      (partition != nullptr && partition->mode == PartitionMode::kRefuse)) {
+      (partition != nullptr && partition->mode == PartitionMode::kRefuse) ||
+      !oracle->ObserveMessage(clock_.now, "report of " + name, EncodeHeartbeat(worker.heartbeat))) {
     SwitchController(&worker, 1);
     return;
   }
@@ -854,7 +871,8 @@
     worker.next_heartbeat_at = clock_.now + 0.1;
     return;
   }
-  if (response.status != 200) {
+  if (response.status != 200 || !oracle->ObserveMessage(clock_.now, "response to " + name,
+                                                        EncodeHeartbeatResponse(response))) {
     SwitchController(&worker, 1);
     return;
   }
@@ -982,7 +1000,8 @@
       continue;
     if (IsDraining(worker)) continue;
     available.push_back({name, worker.heartbeat.type, worker.heartbeat.zone, worker.heartbeat.spot,
-                         cloud_.types[0].cores - UsedCores(worker), cloud_.types[0].memory_gb});
+                         cloud_.types[0].cores - UsedCores(worker), cloud_.types[0].memory_gb,
+                         FreeReportBytes(worker)});
   }
   oracle->CheckLiveness(clock_.now, available);
   ExpireLeases();
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -196,14 +196,16 @@
   // Remembers an executed command for ReplayCommands(), and perhaps has it arrive once more.
   void CopyDirect(const std::string& machine, double commanded_at, const DirectBatch& batch);
   void Execute(SimWorker* worker, double commanded_at, uint64_t token,
-               const std::vector<Command>& commands);
+               const CommandBatch& commands);
   void Launch(SimWorker* worker, double commanded_at, const Command& command);
   // Whether a drain selects the machine, which then gets no new tasks.
   bool IsDraining(const SimWorker& worker) const;
   // Records when the leader of each term first sent a stop command for a task.
-  void RecordStops(uint64_t token, const std::vector<Command>& commands);
+  void RecordStops(uint64_t token, const CommandBatch& commands);
   void EndTask(SimWorker* worker, TaskStatus* status, ExitReason reason);
   double UsedCores(const SimWorker& worker) const;
+  // Bytes of the worker's report that are left for more tasks, with each row in its longest form.
+  static double FreeReportBytes(const SimWorker& worker);
   // Start and end of the tasks of gangs, and detection of lost members (cluster_gangs.cc).
   struct GangTask {
     SimWorker* worker;
--- a/tests/command_log_test.cc
+++ b/tests/command_log_test.cc
@@ -42,9 +42,9 @@
 
 TEST_F(CommandLogTest, LineNamesTokensLeaseAndEveryAttempt) {
   log_.LogCommands(machine_,
-                   {{CommandOp::kAcknowledgeExit, "job-1/0", 5, 0},
-                    {CommandOp::kStop, "job-1/1", 6, 10},
-                    {CommandOp::kStart, "job-2/0", 7, 0}},
+                   CommandBatch::Of({{CommandOp::kAcknowledgeExit, "job-1/0", 5, 0},
+                                     {CommandOp::kStop, "job-1/1", 6, 10},
+                                     {CommandOp::kStart, "job-2/0", 7, 0}}),
                    CommandChannel::kDirect);
   EXPECT_EQ(text_.str(),
             "machine=m-1 epoch=1 token=102 acknowledged_token=101 lease_left_s=1.25 channel=direct "
@@ -53,12 +53,25 @@
   EXPECT_EQ(CountLines(), 1U);
 }
 
+// review/5: a line grew with the tasks of a machine, to 28 KB.
+TEST_F(CommandLogTest, LineOfAFullMessageIsShortAndSaysHowManyCommandsItLeavesOut) {
+  CommandBatch batch;
+  int stops = 0;
+  while (batch.Add({CommandOp::kStop, "job-99999999999999999999/99999", UINT64_MAX, 0})) ++stops;
+  ASSERT_GT(stops, 500);
+  log_.LogCommands(machine_, batch, CommandChannel::kDirect);
+  EXPECT_LT(text_.str().size(), 3000U);
+  EXPECT_NE(text_.str().find(",more:" + std::to_string(stops - 32) + ": commands sent"),
+            std::string::npos);
+}
+
 TEST_F(CommandLogTest, LinesAreBoundedAndTheRestIsCounted) {
   constexpr int kMessages = 4000;
   constexpr size_t kMostLines = 2000;
   log_.LogSummaryIfDue(clock_.now, 0);
   for (int i = 0; i < kMessages; ++i) {
-    log_.LogCommands(machine_, {{CommandOp::kStart, "job-1/0", 7, 0}}, CommandChannel::kDirect);
+    log_.LogCommands(machine_, CommandBatch::Of({{CommandOp::kStart, "job-1/0", 7, 0}}),
+                     CommandChannel::kDirect);
   }
   EXPECT_EQ(CountLines(), kMostLines);
   text_.str("");
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -13,6 +13,8 @@
 #include "config/settings.h"
 #include "config/tuning.h"
 #include "leader/leader.h"
+#include "message_rules.h"
+#include "wire/worker_codec.h"
 
 namespace deckhall {
 
@@ -234,7 +236,7 @@
 struct DirectBatch {
   uint64_t token = 0;
   uint64_t agent_epoch = 0;
-  std::vector<Command> commands;
+  CommandBatch commands;
 };
 
 // A worker that executes commands as described in PROTOCOL, with scripted faults.
@@ -246,6 +248,8 @@
   bool commands_never_complete = false;  // direct commands get neither a response nor a timeout
   bool hold_completions = false;         // responses to direct commands wait in `held_completions`
   std::vector<std::function<void()>> held_completions;
+  bool refuses_messages = false;   // direct commands get status 413
+  int oversized_messages = 0;      // longer than PROTOCOL allows; they have no effect
   bool image_fetch_stuck = false;  // started tasks stay in the fetching state
   int responses_to_lose = 0;  // so many direct batches of commands are executed without a response
   int batches_to_delay = 0;   // so many direct batches of commands wait for DeliverDelayed()
@@ -267,7 +271,7 @@
       EndTask(task->task_name, ExitReason::kStopped);
     }
   }
-  void Execute(uint64_t token, const std::vector<Command>& commands) {
+  void Execute(uint64_t token, const CommandBatch& commands) {
     heartbeat.fencing_token = std::max(heartbeat.fencing_token, token);
     for (const Command& command : commands) {
       auto it = std::find_if(
@@ -305,8 +309,15 @@
   }
   // Counts the tasks of the job on this machine that have not exited.
   size_t ActiveTasks(const std::string& job) const { return CountActiveTasks(heartbeat, job); }
+  // Counts the message if it is longer than PROTOCOL allows.
+  bool AllowsMessage(const std::string& message) {
+    const bool allowed = ProtocolAllows(message);
+    if (!allowed) ++oversized_messages;
+    return allowed;
+  }
   // Executes the commands in a response to a heartbeat, unless the response must be dropped.
   void ReceiveResponse(const HeartbeatResponse& response) {
+    if (!AllowsMessage(EncodeHeartbeatResponse(response))) return;
     const bool accepted = response.status == 200 &&
                           response.fencing_token >= heartbeat.fencing_token && !one_way_reachable;
     if (accepted) Execute(response.fencing_token, response.commands);
@@ -342,7 +353,7 @@
     }
   }
   void SendCommands(const std::string& endpoint, uint64_t token, uint64_t agent_epoch,
-                    const std::vector<Command>& commands, double, Done done) override {
+                    const CommandBatch& commands, double, Done done) override {
     FakeWorker& worker = by_endpoint[endpoint];
     WorkerResponse response;
     response.sent = true;
@@ -351,6 +362,13 @@
       queue.push_back([done] { done(WorkerResponse()); });
       return;
     }
+    if (worker.refuses_messages ||
+        !worker.AllowsMessage(EncodeCommands(token, agent_epoch, commands))) {
+      response.refused = true;
+      response.status = 413;
+      queue.push_back([done, response] { done(response); });
+      return;
+    }
     if (worker.batches_to_delay > 0) {
       --worker.batches_to_delay;
       worker.delayed_batches.push_back({token, agent_epoch, commands});
@@ -512,6 +530,7 @@
   void SendHeartbeat(FakeWorker* worker) {
     if (worker->unresponsive || worker->heartbeat.machine.empty()) return;
     ++worker->heartbeat.sequence;
+    if (!worker->AllowsMessage(EncodeHeartbeat(worker->heartbeat))) return;
     worker->ReceiveResponse(leader->HandleHeartbeat(worker->heartbeat));
   }
   FakeWorker& AddMachine(const std::string& name, const std::string& zone, bool spot = false) {
--- a/tests/gang_test.cc
+++ b/tests/gang_test.cc
@@ -88,9 +88,9 @@
   worker.EndTask(rejected.task_name, ExitReason::kInsufficientCapacity);
   world.AdvanceTime(1);
   ASSERT_EQ(worker.heartbeat.tasks.size(), 3U);  // exit acknowledged
-  const DirectBatch clear{worker.heartbeat.fencing_token,
-                          worker.heartbeat.agent_epoch,
-                          {{CommandOp::kAcknowledgeExit, rejected.task_name, rejected.attempt, 0}}};
+  const DirectBatch clear{
+      worker.heartbeat.fencing_token, worker.heartbeat.agent_epoch,
+      CommandBatch::Of({{CommandOp::kAcknowledgeExit, rejected.task_name, rejected.attempt, 0}})};
   world.AdvanceTime(3);
   ASSERT_TRUE(worker.HasTask(rejected.task_name));
   ASSERT_EQ(worker.heartbeat.tasks.back().attempt, rejected.attempt);
--- a/tests/golden_wire_test.cc
+++ b/tests/golden_wire_test.cc
@@ -228,7 +228,7 @@
   response.status = 200;
   response.fencing_token = 1690000000000;
   EXPECT_EQ(EncodeHeartbeatResponse(response), R"({"mando":1690000000000,"ordenes":[]})");
-  response.commands = CommandsOfAllKinds();
+  response.commands = CommandBatch::Of(CommandsOfAllKinds());
   EXPECT_EQ(EncodeHeartbeatResponse(response),
             std::string(R"({"mando":1690000000000,)") + kCommandsOfAllKinds);
   response.status = 421;
@@ -238,7 +238,7 @@
 }
 
 TEST(GoldenWorkerWire, CommandEncodingIsStable) {
-  EXPECT_EQ(EncodeCommands(1690000000000, 3, CommandsOfAllKinds()),
+  EXPECT_EQ(EncodeCommands(1690000000000, 3, CommandBatch::Of(CommandsOfAllKinds())),
             std::string(R"({"mando":1690000000000,"guardia":3,)") + kCommandsOfAllKinds);
   EXPECT_EQ(EncodeCommands(0, 0, {}), R"({"mando":0,"guardia":0,"ordenes":[]})");
 }
@@ -600,7 +600,7 @@
   response.status = 421;
   response.fencing_token = 1690000000000;
   response.redirect_to = "10.0.0.2:7001";
-  response.commands = CommandsOfAllKinds();
+  response.commands = CommandBatch::Of(CommandsOfAllKinds());
   return response;
 }
 
@@ -842,7 +842,7 @@
   EXPECT_EQ(response.status, 421);
   EXPECT_EQ(response.fencing_token, 1690000000000U);
   EXPECT_EQ(response.redirect_to, "10.0.0.2:7001");
-  ExpectSameCommands(response.commands, CommandsOfAllKinds());
+  ExpectSameCommands(response.commands.commands(), CommandsOfAllKinds());
 }
 
 // Frames carry enumerators as numbers.
--- a/tests/loopback_fleet.cc
+++ b/tests/loopback_fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "loopback_state.h"
+#include "message_rules.h"
 #include "wire/json.h"
 #include "wire/worker_codec.h"
 
@@ -12,6 +13,7 @@
 constexpr double kTickSeconds = 0.05;
 constexpr double kMinHeartbeatIntervalSeconds = 0.5;
 constexpr double kHeartbeatTimeoutSeconds = 4;
+constexpr size_t kMaxReadBytes = 1 << 20;
 
 HttpResponse MakeResponse(int status, std::string body) {
   HttpResponse response;
@@ -166,12 +168,14 @@
   worker->state = "running";
   const Endpoint at = FreeEndpoint(zone->network + "." + std::to_string(++hosts_[zone->network]));
   worker->heartbeat.endpoint = at.Text();
+  HttpServerLimits limits;
+  limits.body_bytes = kMaxReadBytes;  // Handle() refuses what PROTOCOL does not allow
   worker->server = std::make_unique<HttpServer>(
-      loop_, at, HttpServerLimits(),
+      loop_, at, limits,
       [this, worker](const HttpMessage& request, const HttpServer::Reply& reply) {
         Handle(worker, request, reply);
       });
-  worker->client = std::make_unique<HttpClient>(loop_, 4, 1 << 20);
+  worker->client = std::make_unique<HttpClient>(loop_, 4, kMaxReadBytes);
   worker->lease_start = worker->next_heartbeat_at = SteadySeconds();
   worker->controller = workers_.size() % controllers_.size();
 }
@@ -198,6 +202,10 @@
     reply(MakeResponse(200, worker->NextHeartbeat()));
     return;
   }
+  if (!AllowsMessage(request.body)) {
+    reply(MakeResponse(413, "{}"));
+    return;
+  }
   const std::optional<WorkerCommands> batch = DecodeCommands(request.body);
   if (!batch) {
     reply(MakeResponse(400, "{}"));
@@ -211,6 +219,12 @@
   reply(MakeResponse(authorized ? 200 : 409, worker->NextHeartbeat()));
 }
 
+bool LoopbackFleet::AllowsMessage(const std::string& body_or_line) {
+  const bool allowed = ProtocolAllows(body_or_line);
+  if (!allowed) ++oversized_messages_;
+  return allowed;
+}
+
 bool LoopbackFleet::IsAuthorized(const Worker& worker, const WorkerCommands& batch) {
   return batch.fencing_token >= worker.heartbeat.fencing_token &&
          batch.agent_epoch == worker.heartbeat.agent_epoch;
@@ -291,9 +305,11 @@
   worker->awaiting_response = true;
   worker->changed = false;
   worker->last_heartbeat_at = SteadySeconds();
+  const std::string report = worker->NextHeartbeat();
+  // The controller refuses it; that is part of the test.
+  AllowsMessage(report);
   worker->client->Call(
-      controllers_[worker->controller],
-      {"POST", "/checkin", worker->NextHeartbeat(), kHeartbeatTimeoutSeconds},
+      controllers_[worker->controller], {"POST", "/checkin", report, kHeartbeatTimeoutSeconds},
       [this, worker, sent = SteadySeconds(),
        agent_epoch = worker->heartbeat.agent_epoch](const HttpResult& result) {
         worker->awaiting_response = false;
@@ -304,8 +320,8 @@
 }
 
 void LoopbackFleet::HandleHeartbeatResponse(Worker* worker, double sent, const HttpResult& result) {
-  const std::optional<WorkerCommands> batch =
-      result.status == 200 ? DecodeCommands(result.body) : std::nullopt;
+  const bool is_read = result.status == 200 && AllowsMessage(LongestLine(result.body));
+  const std::optional<WorkerCommands> batch = is_read ? DecodeCommands(result.body) : std::nullopt;
   if (!batch) {
     worker->controller = (worker->controller + 1) % controllers_.size();
     worker->next_heartbeat_at = SteadySeconds() + 1;
@@ -373,6 +389,15 @@
   }
 }
 
+size_t LoopbackFleet::CountRunningOfJob(const std::string& job) const {
+  size_t count = 0;
+  for (const auto& [name, worker] : workers_) {
+    for (const TaskStatus& status : worker->heartbeat.tasks)
+      count += status.state == TaskState::kRunning && JobOf(status.task_name) == job ? 1 : 0;
+  }
+  return count;
+}
+
 size_t LoopbackFleet::CountRunning(const std::string& task) const {
   return static_cast<size_t>(
       std::count_if(workers_.begin(), workers_.end(), [&task](const auto& entry) {
--- a/tests/loopback_fleet.h
+++ b/tests/loopback_fleet.h
@@ -63,6 +63,10 @@
   bool IsRunning(const std::string& task) const { return CountRunning(task) > 0; }
   // Counts the machines on which the task runs.
   size_t CountRunning(const std::string& task) const;
+  // Counts the tasks of the job that run.
+  size_t CountRunningOfJob(const std::string& job) const;
+  // Requests and lines for workers, and workers' reports, that are longer than PROTOCOL allows.
+  int oversized_messages() const { return oversized_messages_; }
   int copied_commands() const { return copied_commands_; }
   int killed() const { return killed_; }
 
@@ -77,6 +81,8 @@
   void Boot(Worker* worker);
   void Remove(const std::string& machine, const char* state);
   void Handle(Worker* worker, const HttpMessage& request, const HttpServer::Reply& reply);
+  // Counts the text if it is longer than PROTOCOL allows.
+  bool AllowsMessage(const std::string& body_or_line);
   // Whether the token and the agent epoch of the batch allow its execution.
   static bool IsAuthorized(const Worker& worker, const WorkerCommands& batch);
   void Execute(Worker* worker, const WorkerCommands& batch);
@@ -102,6 +108,7 @@
   int killed_ = 0;
   double copy_delay_s_ = -1;  // negative: no command arrives twice
   int copied_commands_ = 0;
+  int oversized_messages_ = 0;
   std::vector<std::unique_ptr<Timer>> copies_;
   bool hold_cloud_responses_ = false;
   size_t held_cloud_responses_ = 0;
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "fleet/http_worker_client.h"
+#include "message_rules.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
@@ -92,5 +94,60 @@
   EXPECT_TRUE(timeout.active()) << "the second call was not completed";
 }
 
+// A worker that answers with a 4xx status is reachable and executed nothing. Only 409 has its
+// state.
+TEST(HttpWorkerClient, RefusalIsNoMissingResponse) {
+  Loop loop;
+  const Endpoint address = FreePort();
+  int status = 413;
+  HttpServer server(&loop, address, HttpServerLimits(),
+                    [&status](const HttpMessage&, const HttpServer::Reply& reply) {
+                      HttpResponse response;
+                      response.status = status;
+                      response.body = "{}";
+                      reply(response);
+                    });
+  HttpWorkerClient client(&loop, 1);
+  const auto send = [&] {
+    WorkerResponse received;
+    client.SendCommands(address.Text(), 1, 1, {}, 5, [&](const WorkerResponse& response) {
+      received = response;
+      loop.Stop();
+    });
+    RunFor(&loop, 5);
+    return received;
+  };
+  const WorkerResponse refused = send();
+  EXPECT_TRUE(refused.refused);
+  EXPECT_EQ(refused.status, 413);
+  status = 409;
+  EXPECT_FALSE(send().refused);
+  status = 503;
+  EXPECT_FALSE(send().refused);
+}
+
+// What is longer than PROTOCOL allows is refused, just beyond the limit.
+TEST(HttpServer, BodyIsReadUpToTheLimitOfProtocol) {
+  Loop loop;
+  const Endpoint address = FreePort();
+  HttpServer server(
+      &loop, address, HttpServerLimits(),
+      [](const HttpMessage&, const HttpServer::Reply& reply) { reply(HttpResponse()); });
+  HttpClient client(&loop, 1, 1000);
+  const auto status_of = [&](size_t body_bytes) {
+    int status = 0;
+    client.Call(address, {"POST", "/checkin", std::string(body_bytes, 'x'), 5},
+                [&](const HttpResult& result) {
+                  status = result.status;
+                  loop.Stop();
+                });
+    RunFor(&loop, 5);
+    return status;
+  };
+  EXPECT_EQ(status_of(kProtocolMessageBytes - 1), 200);
+  EXPECT_EQ(status_of(kProtocolMessageBytes), 200);
+  EXPECT_EQ(status_of(kProtocolMessageBytes + 1), 413);
+}
+
 }  // namespace
 }  // namespace deckhall
--- a/tests/oracle.cc
+++ b/tests/oracle.cc
@@ -9,6 +9,12 @@
 constexpr double kMaxPlacementWaitSeconds = 90;
 constexpr double kEpsilon = 1e-6;
 
+// Of one of its tasks.
+double ReportRowBytes(const JobSpec& spec) {
+  const std::string last_task = spec.id + "/" + std::to_string(spec.task_count - 1);
+  return static_cast<double>(kProtocolReportRowBytes + last_task.size());
+}
+
 }  // namespace
 
 void Oracle::RecordViolation(double now, const std::string& rule, const std::string& details) {
@@ -118,6 +124,12 @@
   }
 }
 
+bool Oracle::ObserveMessage(double now, const std::string& description, const std::string& text) {
+  if (ProtocolAllows(LongestLine(text))) return true;
+  RecordViolation(now, "oversized", description + ": " + std::to_string(text.size()) + " bytes");
+  return false;
+}
+
 bool Oracle::FitsSomewhere(const Job& job, const std::vector<MachineState>& available) const {
   const JobSpec& spec = *job.spec;
   // A gang needs capacity for all its missing tasks at once, within the limit of its team.
@@ -135,7 +147,9 @@
         !spec.allowed_types || std::find(spec.allowed_types->begin(), spec.allowed_types->end(),
                                          machine.type) != spec.allowed_types->end();
     return type_ok && (!machine.spot || spec.spot_tolerant) && ZoneAllows(job, machine.zone) &&
-           machine.cores + kEpsilon >= spec.cores && machine.memory_gb + kEpsilon >= spec.memory_gb;
+           machine.cores + kEpsilon >= spec.cores &&
+           machine.memory_gb + kEpsilon >= spec.memory_gb &&
+           machine.report_bytes >= ReportRowBytes(spec);
   });
 }
 
@@ -149,7 +163,8 @@
                                          machine.type) != spec.allowed_types->end();
     if (!type_ok || (machine.spot && !spec.spot_tolerant) || !ZoneAllows(job, machine.zone))
       continue;
-    const double fit = std::min(machine.cores / spec.cores, machine.memory_gb / spec.memory_gb);
+    const double fit = std::min({machine.cores / spec.cores, machine.memory_gb / spec.memory_gb,
+                                 machine.report_bytes / ReportRowBytes(spec)});
     fitting_tasks[machine.zone] += static_cast<size_t>(std::max(0.0, fit + kEpsilon));
   }
   size_t all = 0;
--- a/tests/oracle.h
+++ b/tests/oracle.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/settings.h"
+#include "message_rules.h"
 #include "wire/types.h"
 
 namespace deckhall {
@@ -22,6 +23,7 @@
     bool spot = false;
     double cores = 0;
     double memory_gb = 0;
+    double report_bytes = static_cast<double>(kProtocolMessageBytes);  // left for more tasks
   };
 
   Oracle(std::vector<Team> teams, double cancel_s)
@@ -46,6 +48,8 @@
   void TaskEnded(double now, const std::string& job, uint32_t task, const std::string& machine,
                  bool completed);
   void MachineLost(double now, const std::string& machine);
+  // Whether the request body or response line is one that PROTOCOL allows.
+  bool ObserveMessage(double now, const std::string& description, const std::string& text);
   // Checks that jobs get responses and that jobs which fit on `available` machines get placed.
   void CheckLiveness(double now, const std::vector<MachineState>& available);
   // Until then a job without a response or a placement is no violation, because of injected faults.
--- a/tests/oracle_test.cc
+++ b/tests/oracle_test.cc
@@ -189,5 +189,31 @@
   EXPECT_EQ(oracle.violations().size(), 1U);
 }
 
+TEST(Oracle, ReportsAMessageLongerThanProtocolAllows) {
+  OracleWithAcceptedJob oracle;
+  const std::string longest(65536, 'x');
+  EXPECT_TRUE(oracle.ObserveMessage(2, "commands", longest));
+  EXPECT_TRUE(oracle.ObserveMessage(2, "two lines", longest + "\n" + longest));
+  EXPECT_TRUE(oracle.violations().empty());
+  EXPECT_FALSE(oracle.ObserveMessage(3, "commands", longest + "x"));
+  EXPECT_TRUE(oracle.HasOnlyViolation("oversized"));
+}
+
+TEST(Oracle, ReportsAJobThatWaitsOnlyIfTheReportOfAMachineHasRoom) {
+  OracleWithAcceptedJob oracle;
+  Oracle::MachineState full = At("m-1");
+  full.report_bytes = 100;
+  for (double now = 2; now < 200; ++now) {
+    oracle.ObserveResponse(now, now, JobOperation::kGet, "job-1", Reply(200));
+    oracle.CheckLiveness(now, {full});
+  }
+  EXPECT_TRUE(oracle.violations().empty());
+  for (double now = 200; now < 400; ++now) {
+    oracle.ObserveResponse(now, now, JobOperation::kGet, "job-1", Reply(200));
+    oracle.CheckLiveness(now, {At("m-1")});
+  }
+  EXPECT_TRUE(oracle.HasOnlyViolation("waits"));
+}
+
 }  // namespace
 }  // namespace deckhall
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -208,8 +208,10 @@
   ASSERT_TRUE(decoded_heartbeat.has_value());
   EXPECT_EQ(EncodeHeartbeat(*decoded_heartbeat), EncodeHeartbeat(heartbeat));
   EXPECT_EQ(decoded_heartbeat->tasks[1].exit_reason, ExitReason::kGangIncomplete);
-  const auto decoded_commands = DecodeCommands(EncodeCommands(
-      8, 9, {{CommandOp::kStop, "job-1/0", 6, 2.5}, {CommandOp::kAcknowledgeExit, "j/1", 7}}));
+  const auto decoded_commands =
+      DecodeCommands(EncodeCommands(8, 9,
+                                    CommandBatch::Of({{CommandOp::kStop, "job-1/0", 6, 2.5},
+                                                      {CommandOp::kAcknowledgeExit, "j/1", 7}})));
   ASSERT_TRUE(decoded_commands.has_value());
   EXPECT_EQ(decoded_commands->fencing_token, 8U);
   EXPECT_EQ(decoded_commands->agent_epoch, 9U);
